--- a/packages/daemon/src/common/daemon_context.ts
+++ b/packages/daemon/src/common/daemon_context.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger, Metrics, RandomSource } from "@crocussail/protocol";
 import type { ResolvedDaemonConfig } from "../config/mod.ts";
+import type { Journal } from "./journal.ts";
 import type { PeerLink } from "../peers/mod.ts";
 
 /** What every slice of a daemon is given. */
@@ -10,6 +11,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly peers: PeerLink;
+  readonly journal: Journal;
   /** Random id of this process; a restart gets another. */
   readonly incarnation: string;
 }
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -14,7 +14,7 @@
 import { createPeerLink } from "./peers/mod.ts";
 import { createSettings } from "./settings/mod.ts";
 import { createShutdown } from "./shutdown/mod.ts";
-import { createStateDump } from "./state_dump/mod.ts";
+import { createJournal, createStateDump } from "./state_dump/mod.ts";
 
 /** Options of {@link createDaemon}: the settings and every outward interface. */
 export interface DaemonOptions {
@@ -48,6 +48,7 @@
 
 const INCARNATION_BYTES = 8;
 const REQUEST_ID_BYTES = 8;
+const JOURNAL_LIMITS = { maxRequests: 2_000, maxEntries: 32 };
 const MAX_BODY_BYTES = 1_048_576;
 
 /** Creates a daemon from its slices. */
@@ -66,7 +67,17 @@
     },
   });
   const incarnation = random.nextHex(INCARNATION_BYTES);
-  const context: DaemonContext = { config, clock, random, logger, metrics, peers, incarnation };
+  const journal = createJournal({ clock, ...JOURNAL_LIMITS });
+  const context: DaemonContext = {
+    config,
+    clock,
+    random,
+    logger,
+    metrics,
+    peers,
+    journal,
+    incarnation,
+  };
   const membership = createMembership({ context, settings: settings.view });
   const admission = createAdmission({ settings: settings.view });
   const generations = createGenerations({
--- /dev/null
+++ b/packages/daemon/src/state_dump/create_journal.ts
@@ -0,0 +1,41 @@
+import type { Clock } from "@crocussail/protocol";
+import type { Journal, JournalEntry } from "../common/journal.ts";
+
+/** Options of {@link createJournal}. */
+export interface JournalOptions {
+  readonly clock: Clock;
+  /** Requests remembered; the oldest is dropped at the bound. */
+  readonly maxRequests: number;
+  /** Entries kept of one request; later ones are dropped. */
+  readonly maxEntries: number;
+}
+
+/** Creates an empty journal. */
+export function createJournal(options: JournalOptions): Journal {
+  const requests = new Map<string, JournalEntry[]>();
+
+  const openRequest = (requestId: string): JournalEntry[] => {
+    const existing = requests.get(requestId);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const [oldest] = requests.keys();
+    if (requests.size >= options.maxRequests && oldest !== undefined) {
+      requests.delete(oldest);
+    }
+    const created: JournalEntry[] = [];
+    requests.set(requestId, created);
+    return created;
+  };
+
+  return {
+    recordDecision: (requestId, slice, decision, fields = {}) => {
+      const entries = openRequest(requestId);
+      if (entries.length < options.maxEntries) {
+        const time = options.clock.readWallTime().toISOString();
+        entries.push({ time, slice, decision, fields });
+      }
+    },
+    listEntries: (requestId) => requests.get(requestId) ?? [],
+  };
+}
--- a/packages/daemon/src/state_dump/mod.ts
+++ b/packages/daemon/src/state_dump/mod.ts
@@ -1,3 +1,5 @@
 /** Operators' listener: state of this process, health and readiness. @module */
 export { createStateDump } from "./create_state_dump.ts";
 export type { StateDumpOptions } from "./create_state_dump.ts";
+export { createJournal } from "./create_journal.ts";
+export type { JournalOptions } from "./create_journal.ts";
