Replace all-to-all heartbeats by probes on a sparse overlay

Cause: every daemon sent a heartbeat to every other each second, believed the published list alone, and took no notice of a pause. Change: pure decisions of membership (probe, indirect probe, suspicion, refutation, death, own leave, pull of a whole view, trust after a pause), updates and notices on heartbeats in short arrays, riders bounded in bytes; a message-table model of 8 to 400 members on an injected clock.

--- /dev/null
+++ b/packages/daemon/src/membership/accept_notice.ts
@@ -0,0 +1,45 @@
+import { MEMBERSHIP_LIMITS } from "./constants.ts";
+import type { Notice } from "./membership.ts";
+import type { NoticeState } from "./notice_state.ts";
+
+/** Options of {@link acceptNotice}. */
+export interface NoticeArrival {
+  readonly notice: Notice;
+  /** Encoded size. */
+  readonly bytes: number;
+  /** Times that the notice is passed on. */
+  readonly sends: number;
+  readonly nowMs: number;
+}
+
+/**
+ * Takes in a notice; returns true when it is new and must be delivered. A known, expired or too
+ * large one is ignored.
+ */
+export function acceptNotice(state: NoticeState, arrival: NoticeArrival): boolean {
+  const { notice, bytes, sends, nowMs } = arrival;
+  const id = JSON.stringify([notice.topic, notice.key]);
+  const knownUntil = state.known.get(id);
+  const ttlMs = Math.min(notice.ttlMs, MEMBERSHIP_LIMITS.maxNoticeTtlMs);
+  if (ttlMs <= 0 || bytes > MEMBERSHIP_LIMITS.maxNoticeBytes) {
+    return false;
+  }
+  if (knownUntil !== undefined && knownUntil > nowMs) {
+    return false;
+  }
+  dropOldest(state.known, MEMBERSHIP_LIMITS.maxKnownNotices - 1);
+  dropOldest(state.pending, MEMBERSHIP_LIMITS.maxPendingNotices - 1);
+  state.known.delete(id);
+  state.known.set(id, nowMs + ttlMs + MEMBERSHIP_LIMITS.noticeMemoryMs);
+  state.pending.set(id, { notice, bytes, expiresAtMs: nowMs + ttlMs, sendsLeft: sends });
+  return true;
+}
+
+function dropOldest(map: Map<string, unknown>, bound: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= bound) {
+      return;
+    }
+    map.delete(key);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/membership/apply_published_hosts.ts
@@ -0,0 +1,52 @@
+import { MEMBERSHIP_LIMITS } from "./constants.ts";
+import { hashHost } from "./hash_host.ts";
+import { MEMBER_STATUS } from "./member_status.ts";
+import type { MembershipState } from "./membership_state.ts";
+
+/**
+ * Takes over the platform's list: an unknown host is believed alive until a probe fails, a host no
+ * longer listed is forgotten. An empty list is taken for a service that has not answered yet.
+ */
+export function applyPublishedHosts(
+  state: MembershipState,
+  hosts: Iterable<string>,
+  nowMs: number,
+): void {
+  const published = [...hosts];
+  state.hasList ||= published.length > 0;
+  const listed = published.filter((host) => host !== state.host).sort();
+  const wanted = new Set(listed.slice(0, MEMBERSHIP_LIMITS.maxMembers));
+  for (const [host, member] of state.members) {
+    if (!wanted.has(host)) {
+      state.members.delete(host);
+      state.hostsById.delete(member.id);
+      state.updates.delete(host);
+      state.probes.delete(host);
+      Object.assign(state, { isDirty: true, isRingDirty: true });
+    }
+  }
+  for (const host of wanted) {
+    if (!state.members.has(host)) {
+      addMember(state, host, nowMs);
+    }
+  }
+}
+
+function addMember(state: MembershipState, host: string, nowMs: number): void {
+  const id = hashHost(host);
+  state.hostsById.set(id, host);
+  state.members.set(host, {
+    host,
+    id,
+    incarnation: 0,
+    counter: 0,
+    status: MEMBER_STATUS.alive,
+    changedAtMs: nowMs,
+    suspicionEndsMs: 0,
+    heardAtMs: Number.NEGATIVE_INFINITY,
+    isDoubted: false,
+    lastDigest: 0,
+    isIndirect: false,
+  });
+  Object.assign(state, { isDirty: true, isRingDirty: true });
+}
--- /dev/null
+++ b/packages/daemon/src/membership/decide_leave.ts
@@ -0,0 +1,18 @@
+import { MEMBER_STATUS } from "./member_status.ts";
+import type { MembershipEffect } from "./membership_effect.ts";
+import type { MembershipState } from "./membership_state.ts";
+import { enqueueUpdate } from "./enqueue_update.ts";
+import { refreshOverlay } from "./refresh_overlay.ts";
+
+/** Announces by this daemon's own word that it is leaving, or has left, to all neighbours at once. */
+export function decideLeave(
+  state: MembershipState,
+  status: typeof MEMBER_STATUS.leaving | typeof MEMBER_STATUS.left,
+): MembershipEffect[] {
+  state.status = status;
+  state.counter += 1;
+  state.isDirty = true;
+  enqueueUpdate(state, state.host, true);
+  refreshOverlay(state);
+  return state.neighbours.map((host) => ({ type: "probe", host }));
+}
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -23,9 +23,11 @@
 
 /** Membership slice: which hosts are believed live, and what travels between them. */
 export interface Membership {
-  /** Names of the hosts believed live, sorted; includes this host. */
+  /** Names of the hosts believed live, sorted; includes this host unless it is leaving. */
   listLiveHosts(): readonly string[];
   isLive(host: string): boolean;
+  /** Live hosts that nobody doubts: the ones to name to callers. */
+  listUndoubtedHosts(): readonly string[];
   /** False after a long pause of this process until the view has been refreshed. */
   isViewFresh(): boolean;
   registerRider(rider: HeartbeatRider): void;
@@ -33,6 +35,10 @@
   publishNotice(notice: Omit<Notice, "origin">): void;
   /** Calls `listener` once for each notice of a topic, own ones included. */
   subscribeNotices(topic: string, listener: (notice: Notice) => void): void;
+  /** Tells the fleet that this host takes no new duties or callers. */
+  startLeaving(): void;
+  /** Tells the fleet that this host has left; the last message before the links close. */
+  finishLeaving(): void;
   start(): void;
   stop(): void;
   dumpState(): unknown;
--- a/packages/daemon/src/membership/notice_schema.ts
+++ b/packages/daemon/src/membership/notice_schema.ts
@@ -1,10 +1,13 @@
 import { z } from "zod";
 
-/** Message on the `notices` channel. */
-export const noticeSchema = z.strictObject({
-  topic: z.string().max(64),
-  key: z.string().max(512),
-  origin: z.string().max(255),
-  payload: z.unknown(),
-  ttlMs: z.number().nonnegative(),
-});
+/** Notice on the wire: topic, key, origin, remaining lifetime in milliseconds, payload. */
+export const noticeSchema = z.tuple([
+  z.string().max(64),
+  z.string().max(512),
+  z.string().max(255),
+  z.number().nonnegative(),
+  z.unknown(),
+]);
+
+/** Notice on the wire. */
+export type WireNotice = z.infer<typeof noticeSchema>;
--- /dev/null
+++ b/packages/daemon/src/membership/notice_state_test.ts
@@ -0,0 +1,58 @@
+import { expect } from "chai";
+import { acceptNotice } from "./accept_notice.ts";
+import { MEMBERSHIP_LIMITS } from "./constants.ts";
+import type { NoticeState } from "./notice_state.ts";
+import { selectNotices } from "./select_notices.ts";
+
+const makeState = (): NoticeState => ({ pending: new Map(), known: new Map() });
+const makeArrival = (key: string, nowMs: number, bytes = 100) => ({
+  notice: { topic: "t", key, origin: "a", payload: key, ttlMs: 1_000 },
+  bytes,
+  sends: 2,
+  nowMs,
+});
+
+describe("notices", () => {
+  it("are delivered once, also when a late copy comes after they expired", () => {
+    const state = makeState();
+    expect(acceptNotice(state, makeArrival("k", 0))).to.equal(true);
+    expect(acceptNotice(state, makeArrival("k", 10))).to.equal(false);
+    expect(acceptNotice(state, makeArrival("k", 5_000))).to.equal(false);
+  });
+
+  it("are refused when too large", () => {
+    const arrival = makeArrival("k", 0, MEMBERSHIP_LIMITS.maxNoticeBytes + 1);
+    expect(acceptNotice(makeState(), arrival)).to.equal(false);
+  });
+
+  it("are passed on a bounded number of times, with the lifetime that is left", () => {
+    const state = makeState();
+    acceptNotice(state, makeArrival("k", 0));
+    expect(selectNotices(state, 400).map((notice) => notice.ttlMs)).to.deep.equal([600]);
+    expect(selectNotices(state, 500)).to.have.length(1);
+    expect(selectNotices(state, 600)).to.have.length(0);
+  });
+
+  it("are not passed on once expired", () => {
+    const state = makeState();
+    acceptNotice(state, makeArrival("k", 0));
+    expect(selectNotices(state, 1_000)).to.have.length(0);
+  });
+
+  it("drop the oldest at the bound", () => {
+    const state = makeState();
+    for (let index = 0; index <= MEMBERSHIP_LIMITS.maxPendingNotices; index++) {
+      acceptNotice(state, makeArrival(`k${index}`, 0));
+    }
+    expect(state.pending.size).to.equal(MEMBERSHIP_LIMITS.maxPendingNotices);
+    expect([...state.pending.values()].some(({ notice }) => notice.key === "k0")).to.equal(false);
+  });
+
+  it("fit into the bytes of one heartbeat", () => {
+    const state = makeState();
+    for (let index = 0; index < 10; index++) {
+      acceptNotice(state, makeArrival(`k${index}`, 0, 1_000));
+    }
+    expect(selectNotices(state, 1)).to.have.length(1);
+  });
+});
