Make relay, resume, placement and quarantine of generations decisions of their own

Cause: the thin slice relayed without stall, deadline, slow-caller or takeover handling, resumed without accounting, and crashed on a forged token with a valid signature of other content.

--- a/packages/daemon/src/adapters/create_http_engine_client.ts
+++ b/packages/daemon/src/adapters/create_http_engine_client.ts
@@ -1,72 +1,69 @@
 import { createResultError } from "@crocussail/protocol";
-import type { ResultError } from "@crocussail/protocol";
 import { Left, Right } from "purify-ts";
-import type { Either } from "purify-ts";
-import { request } from "undici";
-import type { Dispatcher } from "undici";
-import type { EngineClient, EngineStream } from "./engine_client.ts";
-import { engineEventSchema } from "./engine_event_schema.ts";
-import type { EngineEvent } from "./engine_event_schema.ts";
+import { Agent } from "undici";
+import { describeEngineFailure } from "./describe_engine_failure.ts";
+import type { EngineClient, EngineRequest } from "./engine_client.ts";
+import { HTTP_ENGINE_DEFAULTS } from "./http_engine_defaults.ts";
+import { openEngineStream } from "./open_engine_stream.ts";
 
-const EVENT_PREFIX = "data: ";
+/** Options of {@link createHttpEngineClient}; each replaces one of the defaults. */
+export type HttpEngineClientOptions = Partial<typeof HTTP_ENGINE_DEFAULTS>;
+
+const NOT_FOUND = 404;
+const FIRST_ERROR_STATUS = 400;
 
 /** Creates a client for engines that stream server-sent events over HTTP. */
-export function createHttpEngineClient(): EngineClient {
+export function createHttpEngineClient(options: HttpEngineClientOptions = {}): EngineClient {
+  const limits = { ...HTTP_ENGINE_DEFAULTS, ...options };
+  const agent = new Agent({
+    connect: { timeout: limits.connectTimeoutMs },
+    headersTimeout: limits.headersTimeoutMs,
+    bodyTimeout: 0,
+  });
   return {
     startGeneration: (url, generation) =>
-      openStream(`${url}/v1/generations`, {
+      openEngineStream({
+        agent,
+        limits,
+        origin: url,
+        path: "/v1/generations",
         method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify({
-          generation: generation.generation,
-          model: generation.model,
-          prompt: generation.prompt,
-          priority: generation.priority,
-          ...(generation.maxTokens === undefined ? {} : { max_tokens: generation.maxTokens }),
-        }),
+        body: formatRequest(generation),
       }),
     resumeGeneration: (url, generation, index) =>
-      openStream(`${url}/v1/generations/${generation}/events?from=${index}`, { method: "GET" }),
+      openEngineStream({
+        agent,
+        limits,
+        origin: url,
+        path: `/v1/generations/${encodeURIComponent(generation)}/events?from=${index}`,
+        method: "GET",
+      }),
     cancelGeneration: async (url, generation) => {
       try {
-        await request(`${url}/v1/generations/${generation}`, { method: "DELETE" });
-        return Right(undefined);
+        const answer = await agent.request({
+          origin: url,
+          path: `/v1/generations/${encodeURIComponent(generation)}`,
+          method: "DELETE",
+          headersTimeout: limits.cancelTimeoutMs,
+          bodyTimeout: limits.cancelTimeoutMs,
+        });
+        await answer.body.dump();
+        const isDone = answer.statusCode < FIRST_ERROR_STATUS || answer.statusCode === NOT_FOUND;
+        const detail = `${url}: cancel answered with status ${answer.statusCode}`;
+        return isDone ? Right(undefined) : Left(createResultError("upstreamLost", detail));
       } catch (error) {
-        return Left(createResultError("upstreamLost", `${url}: ${error}`));
+        return Left(describeEngineFailure(url, error));
       }
     },
   };
 }
 
-async function openStream(
-  url: string,
-  options: Omit<Dispatcher.RequestOptions, "path" | "origin">,
-): Promise<Either<ResultError, EngineStream>> {
-  const abort = new AbortController();
-  try {
-    const answer = await request(url, { ...options, bodyTimeout: 0, signal: abort.signal });
-    if (answer.statusCode !== 200) {
-      await answer.body.dump();
-      const detail = `${url}: status ${answer.statusCode}`;
-      return Left(createResultError("upstreamLost", detail, { ran: "no" }));
-    }
-    return Right({ events: iterateEvents(answer.body), close: () => abort.abort() });
-  } catch (error) {
-    const isRefused = (error as { code?: string }).code === "ECONNREFUSED";
-    const ran = isRefused ? "no" : "unknown";
-    return Left(createResultError("upstreamLost", `${url}: ${error}`, { ran }));
-  }
-}
-
-async function* iterateEvents(body: Dispatcher.ResponseData["body"]): AsyncIterable<EngineEvent> {
-  body.setEncoding("utf8");
-  let buffered = "";
-  for await (const chunk of body) {
-    buffered += chunk;
-    const blocks = buffered.split("\n\n");
-    buffered = blocks.pop() ?? "";
-    for (const block of blocks) {
-      yield engineEventSchema.parse(JSON.parse(block.slice(EVENT_PREFIX.length)));
-    }
-  }
+function formatRequest(request: EngineRequest): string {
+  return JSON.stringify({
+    generation: request.generation,
+    model: request.model,
+    prompt: request.prompt,
+    priority: request.priority,
+    ...(request.maxTokens === undefined ? {} : { max_tokens: request.maxTokens }),
+  });
 }
--- /dev/null
+++ b/packages/daemon/src/adapters/describe_engine_failure.ts
@@ -0,0 +1,18 @@
+import { createResultError } from "@crocussail/protocol";
+import type { ResultError } from "@crocussail/protocol";
+
+/** Failures that come before the first byte of the request has left. */
+const NOT_CONNECTED = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Converts a failed HTTP call to an engine into a result error that says whether it ran. */
+export function describeEngineFailure(url: string, error: unknown): ResultError {
+  const code = (error as { code?: string } | null)?.code ?? "";
+  return NOT_CONNECTED.has(code)
+    ? createResultError("upstreamUnreachable", `${url}: ${error}`)
+    : createResultError("upstreamLost", `${url}: ${error}`, { ran: "unknown" });
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/describe_engine_status.ts
@@ -0,0 +1,22 @@
+import { createResultError } from "@crocussail/protocol";
+import type { ResultError } from "@crocussail/protocol";
+
+const NOT_FOUND = 404;
+const CONFLICT = 409;
+const UNAVAILABLE = 503;
+const FIRST_SERVER_FAULT = 500;
+
+/**
+ * Converts a status other than 200 into a result error. A client error or 503 is the engine's own
+ * refusal, so nothing ran; 409 means that the id is in use and other server faults leave it open.
+ */
+export function describeEngineStatus(url: string, method: string, status: number): ResultError {
+  const detail = `${url}: status ${status}`;
+  if (method === "GET" && status === NOT_FOUND) {
+    return createResultError("generationUnknown", detail);
+  }
+  const isRefusal = status === UNAVAILABLE || (status < FIRST_SERVER_FAULT && status !== CONFLICT);
+  return isRefusal
+    ? createResultError("upstreamRefused", detail)
+    : createResultError("upstreamLost", detail, { ran: "unknown" });
+}
--- a/packages/daemon/src/adapters/engine_client.ts
+++ b/packages/daemon/src/adapters/engine_client.ts
@@ -15,12 +15,23 @@
 
 /** Running stream of one generation. */
 export interface EngineStream {
-  readonly events: AsyncIterable<EngineEvent>;
-  /** Closes the connection; the generation itself goes on. */
+  /**
+   * Waits for the next events, in the order of arrival. Returns undefined once the link has ended,
+   * for whatever reason: only an event with `finish` says that the generation is complete. An
+   * implementation stops reading from the engine while a bounded number of events waits here.
+   */
+  readBatch(): Promise<readonly EngineEvent[] | undefined>;
+  /** Closes the connection; the generation itself goes on. A waiting read returns undefined. */
   close(): void;
 }
 
-/** One model engine. */
+/**
+ * One model engine. Failures carry one of these codes:
+ * - `upstreamUnreachable`: no connection came about; nothing was sent (`ran: "no"`).
+ * - `upstreamRefused`: the engine declined, for example because it is leaving (`ran: "no"`).
+ * - `generationUnknown`: the engine answers but holds no such generation.
+ * - `upstreamLost`: anything else; after a start the generation may run (`ran: "unknown"`).
+ */
 export interface EngineClient {
   /** Starts a generation. A left value with `ran: "no"` proves that it did not start. */
   startGeneration(url: string, request: EngineRequest): Promise<Either<ResultError, EngineStream>>;
@@ -30,6 +41,6 @@
     generation: string,
     index: number,
   ): Promise<Either<ResultError, EngineStream>>;
-  /** Cancels a generation. */
+  /** Cancels a generation; a generation that the engine does not know counts as cancelled. */
   cancelGeneration(url: string, generation: string): Promise<Either<ResultError, void>>;
 }
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -83,6 +83,7 @@
   const generations = createGenerations({
     context,
     settings: settings.view,
+    membership,
     admission,
     engine: options.engine,
   });
@@ -112,6 +113,7 @@
     settings.stop();
     membership.stop();
     admission.stop();
+    generations.stop();
     await callerServer.close();
     await operatorServer.close();
     await peers.close();
--- /dev/null
+++ b/packages/daemon/src/generations/decide_reconnect.ts
@@ -0,0 +1,42 @@
+import type { ResultCodeName } from "@crocussail/protocol";
+
+/** State of a relay whose link has just ended without a finish. */
+export interface ReconnectInput {
+  /** Failure of the last resume; `upstreamLost` when an open stream ended or stalled. */
+  readonly cause: ResultCodeName;
+  /** Reconnects in a row that brought no new token. */
+  readonly failures: number;
+  readonly nowMs: number;
+  readonly deadlineMs: number;
+}
+
+/** Limits of {@link decideReconnect}. */
+export interface ReconnectLimits {
+  readonly maxReconnects: number;
+  readonly firstReconnectMs: number;
+  readonly maxReconnectMs: number;
+}
+
+/** Whether a relay reconnects. */
+export type ReconnectEffect =
+  | { readonly type: "reconnect"; readonly delayMs: number }
+  | { readonly type: "stop"; readonly reason: "generationUnknown" | "attempts" | "deadline" };
+
+/**
+ * Decides whether a relay reconnects to the same generation. The first attempt after progress is
+ * immediate, later ones back off exponentially; no attempt starts after the deadline.
+ */
+export function decideReconnect(input: ReconnectInput, limits: ReconnectLimits): ReconnectEffect {
+  if (input.cause === "generationUnknown") {
+    return { type: "stop", reason: "generationUnknown" };
+  }
+  if (input.failures >= limits.maxReconnects) {
+    return { type: "stop", reason: "attempts" };
+  }
+  const backoffMs = limits.firstReconnectMs * 2 ** (input.failures - 1);
+  const delayMs = input.failures === 0 ? 0 : Math.min(backoffMs, limits.maxReconnectMs);
+  if (input.nowMs + delayMs >= input.deadlineMs) {
+    return { type: "stop", reason: "deadline" };
+  }
+  return { type: "reconnect", delayMs };
+}
--- a/packages/daemon/src/generations/decide_relay.ts
+++ b/packages/daemon/src/generations/decide_relay.ts
@@ -1,32 +1,30 @@
 import type { EngineEvent } from "../adapters/engine_event_schema.ts";
 
-/** Position of a relayed stream. */
-export interface RelayState {
-  readonly generation: string;
-  /** Index of the next token to deliver. */
-  readonly nextIndex: number;
-}
-
-/** What the relay does with one event of the engine. */
-export type RelayEffect =
-  | { readonly type: "deliver"; readonly index: number; readonly token: string }
-  | { readonly type: "finish"; readonly reason: string }
-  | { readonly type: "skip" }
-  | { readonly type: "reconnect" };
+/**
+ * What the relay does with one event: `deliver` its token, `finish` the answer, `skip` a repeat, or
+ * `reconnect` because the link is faulty.
+ */
+export type RelayVerdict = "deliver" | "finish" | "skip" | "reconnect";
 
 /**
- * Decides what to do with one event: repeats are skipped, a gap or a foreign generation is a fault
- * of the link.
+ * Decides what to do with one event. Repeated tokens are skipped. A gap, an event of a foreign
+ * generation and a finish whose index differs from the tokens delivered are faults of the link.
+ *
+ * @param nextIndex index of the next token to deliver, which is the number delivered so far
  */
-export function decideRelay(state: RelayState, event: EngineEvent): RelayEffect {
-  if (event.generation !== state.generation || event.index > state.nextIndex) {
-    return { type: "reconnect" };
-  }
-  if (event.index < state.nextIndex) {
-    return { type: "skip" };
+export function decideRelay(
+  generation: string,
+  nextIndex: number,
+  event: EngineEvent,
+): RelayVerdict {
+  if (event.generation !== generation) {
+    return "reconnect";
   }
   if (event.finish !== undefined) {
-    return { type: "finish", reason: event.finish };
+    return event.index === nextIndex ? "finish" : "reconnect";
+  }
+  if (event.index === nextIndex) {
+    return "deliver";
   }
-  return { type: "deliver", index: event.index, token: event.token ?? "" };
+  return event.index < nextIndex ? "skip" : "reconnect";
 }
--- a/packages/daemon/src/generations/decode_last_event_id.ts
+++ b/packages/daemon/src/generations/decode_last_event_id.ts
@@ -1,8 +1,7 @@
 import { createResultError } from "@crocussail/protocol";
 import type { ResultError } from "@crocussail/protocol";
 import { Buffer } from "node:buffer";
-import { Left, Right } from "purify-ts";
-import type { Either } from "purify-ts";
+import { Either, Left, Right } from "purify-ts";
 import { verifyText } from "../common/verify_text.ts";
 import { resumeTokenSchema } from "./resume_token_schema.ts";
 import type { ResumeToken } from "./resume_token_schema.ts";
@@ -15,6 +14,7 @@
 }
 
 const LAST_EVENT_ID = /^([A-Za-z0-9_-]{1,2048})\.([A-Za-z0-9_-]{22}):(\d{1,9})$/;
+const INVALID = createResultError("invalidResumeToken", "Last-Event-ID is malformed or forged");
 
 /** Checks and decodes a `Last-Event-ID` of the form `<payload>.<signature>:<index>`. */
 export function decodeLastEventId(
@@ -23,8 +23,11 @@
 ): Either<ResultError, ResumePosition> {
   const [, payload = "", signature = "", index = ""] = LAST_EVENT_ID.exec(text) ?? [];
   if (payload === "" || !verifyText(fleetKeys, `resume:${payload}`, signature)) {
-    return Left(createResultError("invalidResumeToken", "Last-Event-ID is malformed or forged"));
+    return Left(INVALID);
   }
-  const content = JSON.parse(Buffer.from(payload, "base64url").toString("utf8"));
-  return Right({ token: resumeTokenSchema.parse(content), index: Number(index) });
+  const content = Either.encase<Error, unknown>(() =>
+    JSON.parse(Buffer.from(payload, "base64url").toString("utf8"))
+  );
+  const parsed = resumeTokenSchema.safeParse(content.orDefault(undefined));
+  return parsed.success ? Right({ token: parsed.data, index: Number(index) }) : Left(INVALID);
 }
--- /dev/null
+++ b/packages/daemon/src/generations/end_run.ts
@@ -0,0 +1,67 @@
+import { createResultError } from "@crocussail/protocol";
+import type { ResultError } from "@crocussail/protocol";
+import type { AnswerWriter } from "./answer_writer.ts";
+import type { GenerationServices } from "./generation_services.ts";
+import type { RelayEnd } from "./relay_generation.ts";
+import type { Run } from "./run.ts";
+
+/** Options of {@link endRun}. */
+export interface EndRunOptions {
+  readonly requestId: string;
+  readonly run: Run;
+  readonly writer: AnswerWriter;
+  /** Any end but a loss, which may lead to another placement. */
+  readonly end: Exclude<RelayEnd, { readonly type: "lost" }>;
+  /** Whether the caller holds what it needs to resume. */
+  readonly isResumable: boolean;
+}
+
+/** Ends the caller's side and the accounting of a relay that has ended. */
+export function endRun(services: GenerationServices, options: EndRunOptions): void {
+  const { context, runs } = services;
+  const { run, writer, end, requestId } = options;
+  const { generation, upstream } = run;
+  const fields = { upstream, generation, tokens: end.tokens, end: end.type };
+  context.journal.recordDecision(requestId, "generations", "ended", fields);
+  context.metrics.increment("generations.ended", 1, { end: end.type });
+  switch (end.type) {
+    case "finished":
+      run.release("finished", end.tokens);
+      writer.writeFinish(end.tokens, end.reason);
+      context.logger.writeEvent("generationCompleted", { request: requestId, ...fields });
+      return;
+    case "tooLarge":
+      cancelRun(services, run);
+      writer.writeError(createResultError(
+        "answerTooLarge",
+        `answer was cut after ${end.tokens} tokens; none was delivered`,
+        { members: { tokens: 0 } },
+      ));
+      return;
+    case "slow":
+      writer.writeError(describeSlowCaller(end.tokens));
+      context.clock.startTimer(services.limits.cutMs, writer.close);
+      runs.holdRun(run);
+      return;
+    case "stopped":
+      if (run.isSuperseded) {
+        writer.close();
+        return;
+      }
+      if (options.isResumable) {
+        runs.holdRun(run);
+        return;
+      }
+      cancelRun(services, run);
+  }
+}
+
+function cancelRun(services: GenerationServices, run: Run): void {
+  services.canceller.cancelGeneration(run.url, run.generation);
+  run.release("cancelled", run.tokens);
+}
+
+function describeSlowCaller(tokens: number): ResultError {
+  const detail = `stream was cut after ${tokens} tokens because they were not read`;
+  return createResultError("callerTooSlow", detail, { members: { tokens } });
+}
--- a/packages/daemon/src/generations/mod.ts
+++ b/packages/daemon/src/generations/mod.ts
@@ -1,3 +1,4 @@
 /** Generations: exact streams from engines to callers. @module */
 export { createGenerations } from "./create_generations.ts";
-export type { Generations, GenerationsOptions } from "./create_generations.ts";
+export type { GenerationsOptions } from "./create_generations.ts";
+export type { Generations } from "./generations.ts";
--- /dev/null
+++ b/packages/daemon/src/generations/quarantine_notice_schema.ts
@@ -0,0 +1,20 @@
+import { z } from "zod";
+
+const fingerprintSchema = z.string().regex(/^[0-9a-f]{32}$/);
+
+/** Notices of the quarantine between daemons. */
+export const quarantineNoticeSchema = z.discriminatedUnion("type", [
+  z.object({
+    type: z.literal("crashed"),
+    upstream: z.string().min(1).max(256),
+    suspects: z.array(z.object({
+      fingerprint: fingerprintSchema,
+      tokens: z.number().int().nonnegative(),
+    })).max(64),
+  }),
+  z.object({ type: z.literal("quarantined"), fingerprint: fingerprintSchema }),
+  z.object({ type: z.literal("cleared"), fingerprint: fingerprintSchema }),
+]);
+
+/** Notice of the quarantine. */
+export type QuarantineNotice = z.infer<typeof quarantineNoticeSchema>;
--- a/packages/daemon/src/generations/relay_generation.ts
+++ b/packages/daemon/src/generations/relay_generation.ts
@@ -1,84 +1,113 @@
-import { createResultError } from "@crocussail/protocol";
-import type { ResultError } from "@crocussail/protocol";
-import { Left, Right } from "purify-ts";
-import type { Either } from "purify-ts";
+import type { Clock, ResultCodeName, ResultError } from "@crocussail/protocol";
 import type { EngineClient, EngineStream } from "../adapters/engine_client.ts";
-import { decideRelay } from "./decide_relay.ts";
+import type { AnswerWriter } from "./answer_writer.ts";
+import { decideReconnect } from "./decide_reconnect.ts";
+import type { GENERATION_DEFAULTS } from "./generation_defaults.ts";
+import { relayStream } from "./relay_stream.ts";
+import type { StreamEnd } from "./relay_stream.ts";
 
 /** Options of {@link relayGeneration}. */
 export interface RelayOptions {
   readonly engine: EngineClient;
+  readonly clock: Clock;
+  readonly limits: typeof GENERATION_DEFAULTS;
+  readonly writer: AnswerWriter;
   readonly url: string;
   readonly generation: string;
   /** Index of the first token to deliver. */
   readonly fromIndex: number;
   /** Stream already open; without one the relay resumes. */
   readonly stream?: EngineStream;
-  readonly deliverToken: (index: number, token: string) => Promise<void>;
-  readonly isCancelled: () => boolean;
+  /** Monotonic time after which no reconnect starts. */
+  readonly deadlineMs: number;
+  /** Reports the tokens delivered so far. */
+  readonly noteProgress: (tokens: number) => void;
+  /** Reports a reconnect. */
+  readonly noteReconnect: (tokens: number, cause: string) => void;
+  /** Tells whether the relay has to end: the caller has gone, or another relay has taken over. */
+  readonly isStopped: () => boolean;
+  /** Gives the function that interrupts the relay, so that it sees `isStopped` at once. */
+  readonly setInterrupt: (interrupt: () => void) => void;
 }
 
-/** Result of a relay that reached the engine's finish event. */
-export interface RelayResult {
-  readonly tokens: number;
-  readonly reason: string;
+/** How a relay ended; `tokens` counts the generation from its first token. */
+export type RelayEnd =
+  | { readonly type: "finished"; readonly tokens: number; readonly reason: string }
+  | { readonly type: "lost"; readonly tokens: number; readonly cause: RelayLossCause }
+  | { readonly type: "stopped" | "slow" | "tooLarge"; readonly tokens: number };
+
+/** Failure of the last attempt, and why there was no further one. */
+export interface RelayLossCause {
+  readonly code: ResultCodeName;
+  readonly reason: "generationUnknown" | "attempts" | "deadline";
 }
 
-const MAX_RECONNECTS = 3;
+interface Link {
+  readonly stream?: EngineStream;
+  readonly cause: ResultCodeName;
+}
 
 /** Relays one generation to its end, reconnecting after link faults. */
-export async function relayGeneration(
-  options: RelayOptions,
-): Promise<Either<ResultError, RelayResult>> {
-  const { engine, url, generation } = options;
-  let nextIndex = options.fromIndex;
-  let stream = options.stream;
-  for (let attempt = 0; attempt <= MAX_RECONNECTS; attempt++) {
-    if (stream === undefined) {
-      const resumed = await engine.resumeGeneration(url, generation, nextIndex);
-      stream = resumed.orDefault(undefined as unknown as EngineStream);
+export async function relayGeneration(options: RelayOptions): Promise<RelayEnd> {
+  const { clock, limits } = options;
+  let tokens = options.fromIndex;
+  let failures = 0;
+  let link: Link = options.stream === undefined
+    ? await resumeStream(options, tokens)
+    : { stream: options.stream, cause: "upstreamLost" };
+  for (;;) {
+    const end = await relayLink(options, link, tokens);
+    if (end.type !== "broken") {
+      return end;
     }
-    if (stream !== undefined) {
-      const before = nextIndex;
-      const pass = await relayStream(stream, { ...options, fromIndex: nextIndex });
-      if (pass.reason !== undefined) {
-        return Right({ tokens: pass.nextIndex, reason: pass.reason });
-      }
-      nextIndex = pass.nextIndex;
-      attempt = nextIndex > before ? 0 : attempt;
+    failures = end.tokens > tokens ? 0 : failures;
+    tokens = end.tokens;
+    const nowMs = clock.readMonotonicMs();
+    const { cause } = link;
+    const effect = decideReconnect(
+      { cause, failures, nowMs, deadlineMs: options.deadlineMs },
+      limits,
+    );
+    if (effect.type === "stop") {
+      return { type: "lost", tokens, cause: { code: cause, reason: effect.reason } };
     }
-    if (options.isCancelled()) {
-      break;
-    }
-    stream = undefined;
+    failures += 1;
+    await waitForDelay(options, effect.delayMs);
+    options.noteReconnect(tokens, cause);
+    link = await resumeStream(options, tokens);
   }
-  const detail = `engine at ${url} was lost after ${nextIndex} tokens`;
-  return Left(createResultError("upstreamLost", detail, { members: { tokens: nextIndex } }));
 }
 
-async function relayStream(
-  stream: EngineStream,
-  options: RelayOptions,
-): Promise<{ nextIndex: number; reason?: string }> {
-  let nextIndex = options.fromIndex;
-  try {
-    for await (const event of stream.events) {
-      const effect = decideRelay({ generation: options.generation, nextIndex }, event);
-      if (effect.type === "reconnect" || options.isCancelled()) {
-        break;
-      }
-      if (effect.type === "finish") {
-        return { nextIndex, reason: effect.reason };
-      }
-      if (effect.type === "deliver") {
-        await options.deliverToken(effect.index, effect.token);
-        nextIndex = effect.index + 1;
-      }
-    }
-  } catch {
-    return { nextIndex };
-  } finally {
-    stream.close();
+function relayLink(options: RelayOptions, link: Link, tokens: number): Promise<StreamEnd> {
+  if (options.isStopped()) {
+    link.stream?.close();
+    return Promise.resolve({ type: "stopped", tokens });
+  }
+  return link.stream === undefined
+    ? Promise.resolve({ type: "broken", tokens })
+    : relayStream(options, link.stream, tokens);
+}
+
+async function resumeStream(options: RelayOptions, index: number): Promise<Link> {
+  if (options.isStopped()) {
+    return { cause: "upstreamLost" };
+  }
+  const resumed = await options.engine.resumeGeneration(options.url, options.generation, index);
+  return resumed.caseOf<Link>({
+    Left: (error: ResultError) => ({ cause: error.code }),
+    Right: (stream) => ({ stream, cause: "upstreamLost" }),
+  });
+}
+
+function waitForDelay(options: RelayOptions, delayMs: number): Promise<void> {
+  if (delayMs === 0) {
+    return Promise.resolve();
   }
-  return { nextIndex };
+  return new Promise((resolve) => {
+    const timer = options.clock.startTimer(delayMs, resolve);
+    options.setInterrupt(() => {
+      timer.cancel();
+      resolve();
+    });
+  });
 }
--- /dev/null
+++ b/packages/daemon/src/generations/relay_run.ts
@@ -0,0 +1,60 @@
+import type { EngineStream } from "../adapters/engine_client.ts";
+import type { AnswerWriter } from "./answer_writer.ts";
+import type { GenerationServices } from "./generation_services.ts";
+import { relayGeneration } from "./relay_generation.ts";
+import type { RelayEnd } from "./relay_generation.ts";
+import type { Run } from "./run.ts";
+
+/** Options of {@link relayRun}. */
+export interface RelayRunOptions {
+  readonly requestId: string;
+  readonly run: Run;
+  readonly writer: AnswerWriter;
+  readonly deadlineMs: number;
+  readonly stream?: EngineStream;
+  /** Reports the tokens delivered so far, at intervals. */
+  readonly noteProgress: (tokens: number) => void;
+}
+
+/** Relays a run of the table to its caller until the relay ends. */
+export async function relayRun(
+  services: GenerationServices,
+  options: RelayRunOptions,
+): Promise<RelayEnd> {
+  const { context, limits, engine, runs } = services;
+  const { run, writer, requestId } = options;
+  let notedTokens = run.tokens;
+  runs.addRun(run);
+  writer.watchGone(() => run.interrupt());
+  const end = await relayGeneration({
+    engine,
+    clock: context.clock,
+    limits,
+    writer,
+    url: run.url,
+    generation: run.generation,
+    fromIndex: run.tokens,
+    ...(options.stream === undefined ? {} : { stream: options.stream }),
+    deadlineMs: options.deadlineMs,
+    noteProgress: (tokens) => {
+      run.tokens = tokens;
+      if (tokens - notedTokens >= limits.progressTokens) {
+        notedTokens = tokens;
+        options.noteProgress(tokens);
+      }
+    },
+    noteReconnect: (tokens, cause) => {
+      const { upstream, generation } = run;
+      const fields = { upstream, generation, tokens, cause };
+      context.logger.writeEvent("generationReconnected", { request: requestId, ...fields });
+      context.journal.recordDecision(requestId, "generations", "reconnected", fields);
+      context.metrics.increment("generations.reconnects");
+    },
+    isStopped: () => run.isSuperseded || writer.isGone(),
+    setInterrupt: (interrupt) => {
+      run.interrupt = interrupt;
+    },
+  });
+  runs.removeRun(run);
+  return end;
+}
--- /dev/null
+++ b/packages/daemon/src/generations/relay_stream.ts
@@ -0,0 +1,80 @@
+import type { EngineStream } from "../adapters/engine_client.ts";
+import type { EngineEvent } from "../adapters/engine_event_schema.ts";
+import { createIdleTimer } from "./create_idle_timer.ts";
+import { decideRelay } from "./decide_relay.ts";
+import type { RelayEnd, RelayOptions } from "./relay_generation.ts";
+import { waitForCaller } from "./wait_for_caller.ts";
+
+/** How one connection to the engine ended; `broken` means without a finish. */
+export type StreamEnd =
+  | Exclude<RelayEnd, { readonly type: "lost" }>
+  | { readonly type: "broken"; readonly tokens: number };
+
+/** Relays one connection until it ends, breaks or stalls. */
+export async function relayStream(
+  options: RelayOptions,
+  stream: EngineStream,
+  fromIndex: number,
+): Promise<StreamEnd> {
+  const { clock, limits, writer } = options;
+  const { stallMs, pauseMs } = limits;
+  const startTimer = () =>
+    createIdleTimer({ clock, limitMs: stallMs, pauseMs, handleExpiry: stream.close });
+  options.setInterrupt(stream.close);
+  let stallTimer = startTimer();
+  let tokens = fromIndex;
+  try {
+    for (;;) {
+      const events = await stream.readBatch();
+      if (options.isStopped()) {
+        return { type: "stopped", tokens };
+      }
+      if (events === undefined) {
+        return { type: "broken", tokens };
+      }
+      const step = applyBatch(options, events, tokens);
+      const hasRoom = writer.flush();
+      tokens = step.tokens;
+      options.noteProgress(tokens);
+      if (step.type !== "continue") {
+        return step;
+      }
+      stallTimer.touch();
+      if (!hasRoom) {
+        stallTimer.stop();
+        if (!await waitForCaller(options)) {
+          return { type: "slow", tokens };
+        }
+        stallTimer = startTimer();
+      }
+    }
+  } finally {
+    stallTimer.stop();
+    stream.close();
+  }
+}
+
+type BatchStep = StreamEnd | { readonly type: "continue"; readonly tokens: number };
+
+function applyBatch(
+  options: RelayOptions,
+  events: readonly EngineEvent[],
+  fromIndex: number,
+): BatchStep {
+  const { writer, generation } = options;
+  let tokens = fromIndex;
+  for (const event of events) {
+    const verdict = decideRelay(generation, tokens, event);
+    if (verdict === "reconnect") {
+      return { type: "broken", tokens };
+    }
+    if (verdict === "finish") {
+      return { type: "finished", tokens, reason: event.finish ?? "" };
+    }
+    if (verdict === "deliver") {
+      writer.addToken(tokens, event.token ?? "");
+      tokens += 1;
+    }
+  }
+  return { type: writer.isTooLarge() ? "tooLarge" : "continue", tokens };
+}
--- /dev/null
+++ b/packages/daemon/src/generations/serve_resume.ts
@@ -0,0 +1,85 @@
+import { createResultError } from "@crocussail/protocol";
+import type { AdmissionOutcome } from "../admission/mod.ts";
+import type { AnswerWriter } from "./answer_writer.ts";
+import type { ResumePosition } from "./decode_last_event_id.ts";
+import { encodeResumeToken } from "./encode_resume_token.ts";
+import { endRun } from "./end_run.ts";
+import type { GenerationServices } from "./generation_services.ts";
+import { relayRun } from "./relay_run.ts";
+import type { Run } from "./run.ts";
+
+/** Options of {@link serveResume}. */
+export interface ServeResumeOptions {
+  readonly requestId: string;
+  readonly position: ResumePosition;
+  /** URL of the upstream that the token names. */
+  readonly url: string;
+  readonly writer: AnswerWriter;
+  readonly deadlineMs: number;
+}
+
+/** Serves the rest of a stream that began on this or on another host. */
+export async function serveResume(
+  services: GenerationServices,
+  options: ServeResumeOptions,
+): Promise<void> {
+  const { context } = services;
+  const { writer, requestId, deadlineMs } = options;
+  const { token, index } = options.position;
+  const run = takeRun(services, options);
+  const fields = { generation: token.generation, upstream: token.upstream, from: index + 1 };
+  context.logger.writeEvent("generationResumed", { request: requestId, ...fields });
+  context.journal.recordDecision(requestId, "generations", "resumed", fields);
+  writer.startAnswer({
+    generation: token.generation,
+    resumeToken: encodeResumeToken(
+      { ...token, host: context.config.host.name },
+      context.config.fleetKeys[0],
+    ),
+  });
+  const end = await relayRun(services, {
+    requestId,
+    run,
+    writer,
+    deadlineMs,
+    noteProgress: () => {},
+  });
+  if (end.type !== "lost") {
+    endRun(services, { requestId, run, writer, end, isResumable: true });
+    return;
+  }
+  run.release("lost", end.tokens);
+  const code = end.cause.code === "generationUnknown" ? "generationUnknown" : "upstreamLost";
+  const detail = `upstream "${token.upstream}" was lost (${end.cause.code}, ` +
+    `${end.cause.reason}) after ${end.tokens} tokens`;
+  const members = { tokens: end.tokens };
+  writer.writeError(createResultError(code, detail, { ran: "yes", members }));
+}
+
+/** Takes the run from this host's own table, or from the host that the token names. */
+function takeRun(services: GenerationServices, options: ServeResumeOptions): Run {
+  const { handover, runs, context } = services;
+  const { token, index } = options.position;
+  const { generation, team, upstream } = token;
+  const own = runs.takeOver(generation, team);
+  const isRemote = token.host !== context.config.host.name;
+  if (own === undefined && isRemote) {
+    handover.announceResume(token);
+  }
+  const release = (outcome: AdmissionOutcome, tokens: number) => {
+    own?.release(outcome, tokens);
+    if (own === undefined && isRemote) {
+      handover.announceEnd(token, outcome, tokens);
+    }
+  };
+  return {
+    generation,
+    team,
+    upstream,
+    url: options.url,
+    tokens: index + 1,
+    isSuperseded: false,
+    interrupt: () => {},
+    release,
+  };
+}
--- a/packages/protocol/src/events/generation_events.ts
+++ b/packages/protocol/src/events/generation_events.ts
@@ -8,4 +8,58 @@
     title: "Generation completed",
     action: "none",
   },
+  generationReconnected: {
+    number: 2001,
+    level: "info",
+    title: "Relay reconnected to an upstream after a link fault",
+    action: "Check the link to the upstream when this repeats",
+  },
+  generationLost: {
+    number: 2002,
+    level: "warn",
+    title: "Generation ended without the upstream's finish event",
+    action: "Check the upstream named in the event",
+  },
+  generationPlacedAgain: {
+    number: 2003,
+    level: "info",
+    title: "Generation was placed again before its first token",
+    action: "none",
+  },
+  generationCancelled: {
+    number: 2004,
+    level: "debug",
+    title: "Generation was cancelled after its caller had gone",
+    action: "none",
+  },
+  cancelFailed: {
+    number: 2005,
+    level: "warn",
+    title: "Upstream did not confirm a cancel",
+    action: "Check whether the upstream still runs the generation",
+  },
+  generationResumed: {
+    number: 2006,
+    level: "info",
+    title: "Stream was resumed on this host",
+    action: "none",
+  },
+  resumeUnacknowledged: {
+    number: 2007,
+    level: "warn",
+    title: "Former host of a resumed stream did not confirm the handover",
+    action: "None when that host is down; otherwise check the link between the hosts",
+  },
+  upstreamCrashed: {
+    number: 2008,
+    level: "warn",
+    title: "Upstream died with generations running on it",
+    action: "Check the upstream's own log",
+  },
+  requestQuarantined: {
+    number: 2009,
+    level: "error",
+    title: "Request was quarantined after crashing more than one upstream",
+    action: "Look at the request with the team named in the event",
+  },
 } as const satisfies Record<string, EventEntry>;
