Name the nearest known setting and the missing ones by file and line

Cause: a misspelt name was reported with 'remove it' and missing values with zod's words. Change: the schema at the issue's path gives the known names. Conclusion: the same renderer serves published values.

--- a/packages/daemon/src/config/daemon_config_schema.ts
+++ b/packages/daemon/src/config/daemon_config_schema.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 
 const portSchema = z.coerce.number().int().min(0).max(65535);
-const ipSchema = z.union([z.ipv4(), z.ipv6()]);
+const ipSchema = z.union([z.ipv4(), z.ipv6()], { error: "expected an IP number" });
 
 /** Settings file of one daemon: one object for each INI section. */
 export const daemonConfigSchema = z.strictObject({
--- a/packages/daemon/src/config/resolve_daemon_config.ts
+++ b/packages/daemon/src/config/resolve_daemon_config.ts
@@ -21,7 +21,9 @@
 ): Either<ResultError, ResolvedDaemonConfig> {
   const parsed = daemonConfigSchema.safeParse(parseIni(source.text, { convertSections: true }));
   if (!parsed.success) {
-    const lines = parsed.error.issues.map((issue) => describeIniIssue(source, issue));
+    const lines = parsed.error.issues.map((issue) =>
+      describeIniIssue({ ...source, schema: daemonConfigSchema }, issue)
+    );
     return Left(createResultError("invalidSettingsFile", lines.join("\n")));
   }
   const { key, previousKey } = parsed.data.fleet;
--- a/packages/daemon/src/settings/settings_state.ts
+++ b/packages/daemon/src/settings/settings_state.ts
@@ -61,7 +61,9 @@
   if (parsed.success) {
     return { value: parsed.data };
   }
-  const lines = parsed.error.issues.map((issue) => describeIniIssue({ file: path, text }, issue));
+  const lines = parsed.error.issues.map((issue) =>
+    describeIniIssue({ file: path, text, schema: entry.schema }, issue)
+  );
   return { rejection: lines.join("\n") };
 }
 
