--- a/packages/daemon/src/adapters/create_consola_logger.ts
+++ b/packages/daemon/src/adapters/create_consola_logger.ts
@@ -1,5 +1,5 @@
 import { EVENT_CATALOGUE } from "@crocussail/protocol";
-import type { Clock, Logger } from "@crocussail/protocol";
+import type { Clock, EventName, Logger } from "@crocussail/protocol";
 import { createConsola } from "consola";
 import process from "node:process";
 
@@ -10,28 +10,51 @@
   readonly host: string;
   /** Lowest level written; consola's numbers, 3 is info. */
   readonly level?: number;
+  /** Areas whose debug events are written: names of event ranges, for example `orders`. */
+  readonly debugAreas?: readonly string[];
 }
 
 const DEFAULT_LEVEL = 3;
+const DEBUG_LEVEL = 4;
+/** Area of each thousand of event numbers. */
+const AREAS = [
+  "general",
+  "generations",
+  "orders",
+  "admission",
+  "settings",
+  "membership",
+  "placement",
+];
+const EVENTS_PER_AREA = 1_000;
 
 /** Creates a logger of numbered events: lines for people on a terminal, JSON lines otherwise. */
 export function createConsolaLogger(options: ConsolaLoggerOptions): Logger {
+  const debugAreas = new Set(options.debugAreas ?? []);
+  const level = options.level ?? DEFAULT_LEVEL;
   const consola = createConsola({
-    level: options.level ?? DEFAULT_LEVEL,
+    level: debugAreas.size > 0 ? Math.max(level, DEBUG_LEVEL) : level,
     ...(process.stderr.isTTY
       ? {}
       : { reporters: [{ log: (entry) => writeJsonLine(entry.args[0]) }] }),
   });
   return {
     writeEvent: (name, fields = {}) => {
-      const { number, level, title } = EVENT_CATALOGUE[name];
+      const entry = EVENT_CATALOGUE[name];
+      if (entry.level === "debug" && level < DEBUG_LEVEL && !debugAreas.has(findArea(name))) {
+        return;
+      }
       const time = options.clock.readWallTime().toISOString();
-      const line = { time, event: number, name, level, host: options.host, title, ...fields };
-      consola[level](line);
+      const head = { time, event: entry.number, name, level: entry.level, host: options.host };
+      consola[entry.level]({ ...head, title: entry.title, ...fields });
     },
   };
 }
 
+function findArea(name: EventName): string {
+  return AREAS[Math.floor(EVENT_CATALOGUE[name].number / EVENTS_PER_AREA) - 1] ?? "general";
+}
+
 function writeJsonLine(line: unknown): void {
   process.stderr.write(`${JSON.stringify(line)}\n`);
 }
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics, RandomSource } from "@crocussail/protocol";
 import type { AddressInfo } from "node:net";
 import type { EngineClient } from "./adapters/engine_client.ts";
+import type { ProcessUsage } from "./adapters/process_usage.ts";
 import type { ServiceClient } from "./adapters/service_client.ts";
 import type { SettingsSource } from "./adapters/settings_source.ts";
 import { createAdmission } from "./admission/mod.ts";
@@ -9,12 +10,13 @@
 import { createEntry } from "./entry/mod.ts";
 import { createGenerations } from "./generations/mod.ts";
 import { createCallerServer } from "./http/mod.ts";
+import type { TlsMaterial } from "./http/mod.ts";
 import { createMembership } from "./membership/mod.ts";
 import { createOrders } from "./orders/mod.ts";
 import { createPeerLink } from "./peers/mod.ts";
 import { createSettings } from "./settings/mod.ts";
 import { createShutdown } from "./shutdown/mod.ts";
-import { createJournal, createStateDump } from "./state_dump/mod.ts";
+import { createJournal, createProcessReporter, createStateDump } from "./state_dump/mod.ts";
 
 /** Options of {@link createDaemon}: the settings and every outward interface. */
 export interface DaemonOptions {
@@ -26,6 +28,9 @@
   readonly settingsSource: SettingsSource;
   readonly engine: EngineClient;
   readonly service: ServiceClient;
+  readonly readUsage: () => ProcessUsage;
+  /** Certificate and key of the callers' listener. */
+  readonly tls?: TlsMaterial;
 }
 
 /** Ports on which a started daemon listens. */
@@ -49,7 +54,6 @@
 const INCARNATION_BYTES = 8;
 const REQUEST_ID_BYTES = 8;
 const JOURNAL_LIMITS = { maxRequests: 2_000, maxEntries: 32 };
-const MAX_BODY_BYTES = 1_048_576;
 
 /** Creates a daemon from its slices. */
 export function createDaemon(options: DaemonOptions): Daemon {
@@ -100,15 +104,31 @@
   });
 
   const callerServer = createCallerServer({
+    clock,
     logger,
-    maxBodyBytes: MAX_BODY_BYTES,
+    metrics,
+    readMaxBodyBytes: () => settings.view.getFleetLimits().maxBodyBytes,
+    ...(options.tls === undefined ? {} : { tls: options.tls }),
     createRequestId: () => random.nextHex(REQUEST_ID_BYTES),
   });
   generations.registerRoutes(callerServer);
   orders.registerRoutes(callerServer);
   entry.registerRoutes(callerServer);
 
+  const reporter = createProcessReporter({
+    clock,
+    metrics,
+    readUsage: options.readUsage,
+    gauges: {
+      "generations.running": generations.countRunning,
+      "orders.running": orders.countRunning,
+      "settings.revision": settings.view.getRevision,
+      "members.live": () => membership.listLiveHosts().length,
+    },
+  });
+
   const stop = async () => {
+    reporter.stop();
     settings.stop();
     membership.stop();
     admission.stop();
@@ -126,6 +146,7 @@
   const operatorServer = createStateDump({
     config,
     incarnation,
+    journal,
     isReady: () => settings.view.getRevision() > 0 && !shutdown.isLeaving(),
     sections: {
       settings: settings.dumpState,
@@ -144,6 +165,7 @@
       await settings.start();
       membership.start();
       admission.start();
+      reporter.start();
       await callerServer.listen({ host: listen.address, port: listen.callerPort });
       await operatorServer.listen({ host: listen.operatorAddress, port: listen.operatorPort });
       const caller = (callerServer.server.address() as AddressInfo).port;
--- a/packages/daemon/src/create_process_daemon.ts
+++ b/packages/daemon/src/create_process_daemon.ts
@@ -3,17 +3,23 @@
 import { createHttpEngineClient } from "./adapters/create_http_engine_client.ts";
 import { createHttpServiceClient } from "./adapters/create_http_service_client.ts";
 import { createNullMetrics } from "./adapters/create_null_metrics.ts";
+import { createProcessUsageReader } from "./adapters/create_process_usage_reader.ts";
 import { createStatsdMetrics } from "./adapters/create_statsd_metrics.ts";
 import { createSystemClock } from "./adapters/create_system_clock.ts";
 import { createSystemRandom } from "./adapters/create_system_random.ts";
 import type { ResolvedDaemonConfig } from "./config/mod.ts";
 import { createDaemon } from "./create_daemon.ts";
 import type { Daemon } from "./create_daemon.ts";
+import type { TlsMaterial } from "./http/mod.ts";
 
 /** Options of {@link createProcessDaemon}. */
 export interface ProcessDaemonOptions {
   /** Lowest log level written; consola's numbers, 3 is info. */
   readonly logLevel?: number;
+  /** Areas whose debug events are written, for example `orders`. */
+  readonly debugAreas?: readonly string[];
+  /** Certificate and key of the callers' listener. */
+  readonly tls?: TlsMaterial;
 }
 
 /** Creates a daemon on the real clock, network and logger. */
@@ -31,6 +37,7 @@
       clock,
       host: host.name,
       ...(options.logLevel === undefined ? {} : { level: options.logLevel }),
+      ...(options.debugAreas === undefined ? {} : { debugAreas: options.debugAreas }),
     }),
     metrics: metrics === undefined
       ? createNullMetrics()
@@ -38,5 +45,7 @@
     settingsSource: createEtcdSettingsSource({ urls: config.settingsService.urls }),
     engine: createHttpEngineClient(),
     service: createHttpServiceClient(),
+    readUsage: createProcessUsageReader(),
+    ...(options.tls === undefined ? {} : { tls: options.tls }),
   });
 }
--- a/packages/daemon/src/daemon_command.ts
+++ b/packages/daemon/src/daemon_command.ts
@@ -1,7 +1,6 @@
 import { Command, Option } from "clipanion";
-import { readFile } from "node:fs/promises";
 import process from "node:process";
-import { resolveDaemonConfig } from "./config/mod.ts";
+import { loadDaemonFiles } from "./adapters/load_daemon_files.ts";
 import { createProcessDaemon } from "./create_process_daemon.ts";
 
 const EXIT_INVALID_SETTINGS = 2;
@@ -18,20 +17,21 @@
     description: "INI file with the addresses, data centre and keys of this host",
   });
 
+  debug = Option.String("--debug", "", {
+    description: "Areas whose debug events are logged, comma separated, for example orders",
+  });
+
   override async execute(): Promise<number> {
-    const text = await readFile(this.settings, "utf8").catch((error) => {
-      this.context.stderr.write(`${this.settings}: ${error.message}; name a readable INI file\n`);
-      return undefined;
-    });
-    if (text === undefined) {
+    const loaded = await loadDaemonFiles(this.settings);
+    if (loaded.isLeft()) {
+      this.context.stderr.write(`${loaded.swap().unsafeCoerce().detail}\n`);
       return EXIT_INVALID_SETTINGS;
     }
-    const config = resolveDaemonConfig({ file: this.settings, text });
-    if (config.isLeft()) {
-      this.context.stderr.write(`${config.swap().unsafeCoerce().detail}\n`);
-      return EXIT_INVALID_SETTINGS;
-    }
-    const daemon = createProcessDaemon(config.unsafeCoerce());
+    const { config, tls } = loaded.unsafeCoerce();
+    const daemon = createProcessDaemon(config, {
+      debugAreas: this.debug.split(",").filter((area) => area !== ""),
+      ...(tls === undefined ? {} : { tls }),
+    });
     await daemon.start();
     await new Promise<void>((resolve) => {
       const leave = () => daemon.shutdown().then(resolve);
--- a/packages/daemon/src/http/create_caller_server.ts
+++ b/packages/daemon/src/http/create_caller_server.ts
@@ -1,41 +1,93 @@
 import { createResultError } from "@crocussail/protocol";
-import type { Logger } from "@crocussail/protocol";
+import type { Clock, Logger, Metrics } from "@crocussail/protocol";
 import fastify from "fastify";
-import type { FastifyError, FastifyInstance } from "fastify";
+import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import { CALLER_LIMITS } from "./constants.ts";
 import { sendProblem } from "./send_problem.ts";
+import type { TlsMaterial } from "./tls_material.ts";
 
 /** Options of {@link createCallerServer}. */
 export interface CallerServerOptions {
+  readonly clock: Clock;
   readonly logger: Logger;
-  readonly maxBodyBytes: number;
+  readonly metrics: Metrics;
+  /** Largest body in force, in bytes; never above the hard limit. */
+  readonly readMaxBodyBytes: () => number;
   /** Returns the id of the next request. */
   readonly createRequestId: () => string;
+  /** Certificate and key; without them the server speaks plain HTTP. */
+  readonly tls?: TlsMaterial;
 }
 
 /** Creates the HTTP server for callers; slices register their routes on it. */
 export function createCallerServer(options: CallerServerOptions): FastifyInstance {
   const server = fastify({
-    bodyLimit: options.maxBodyBytes,
+    bodyLimit: CALLER_LIMITS.maxBodyBytes,
+    requestTimeout: CALLER_LIMITS.requestTimeoutMs,
+    keepAliveTimeout: CALLER_LIMITS.keepAliveMs,
     genReqId: options.createRequestId,
     forceCloseConnections: true,
-  });
+    http: { maxHeaderSize: CALLER_LIMITS.maxHeaderBytes },
+    https: options.tls === undefined
+      ? null
+      : { ...options.tls, maxHeaderSize: CALLER_LIMITS.maxHeaderBytes },
+    // The union of plain and TLS servers has one routing interface.
+  } as object) as unknown as FastifyInstance;
+  server.server.maxConnections = CALLER_LIMITS.maxConnections;
+  server.server.headersTimeout = CALLER_LIMITS.headersTimeoutMs;
   server.addHook("onRequest", (request, reply, done) => {
     reply.header("x-request-id", request.id);
     done();
   });
+  server.addHook("preParsing", (request, reply, payload, done) => {
+    const declared = Number(request.headers["content-length"] ?? 0);
+    if (declared > options.readMaxBodyBytes()) {
+      const detail = `${declared} bytes; the limit is ${options.readMaxBodyBytes()}`;
+      sendProblem(reply, createResultError("bodyTooLarge", detail));
+      return;
+    }
+    done(null, payload);
+  });
+  registerRequestMetrics(server, options);
   server.setNotFoundHandler((request, reply) =>
     sendProblem(reply, createResultError("notFound", `no resource at ${request.url}`))
   );
-  server.setErrorHandler((error: FastifyError, request, reply) => {
-    const status = error.statusCode ?? 500;
-    if (status === 413) {
-      return sendProblem(reply, createResultError("bodyTooLarge", error.message));
-    }
-    if (status < 500) {
-      return sendProblem(reply, createResultError("invalidRequest", error.message));
-    }
-    options.logger.writeEvent("requestFailed", { request: request.id, error: String(error) });
-    return sendProblem(reply, createResultError("internalFault", `request ${request.id}`));
-  });
+  server.setErrorHandler((error: FastifyError, request, reply) =>
+    answerFault({ error, request, reply, logger: options.logger })
+  );
   return server;
 }
+
+function registerRequestMetrics(server: FastifyInstance, options: CallerServerOptions): void {
+  const { clock, metrics } = options;
+  const starts = new WeakMap<FastifyRequest, number>();
+  server.addHook("onRequest", (request, reply, done) => {
+    starts.set(request, clock.readMonotonicMs());
+    reply.raw.once("close", () => {
+      const route = request.routeOptions.url ?? "none";
+      const startMs = starts.get(request) ?? clock.readMonotonicMs();
+      metrics.increment("requests", 1, { route, status: String(reply.raw.statusCode) });
+      metrics.distribution("request.duration", clock.readMonotonicMs() - startMs, { route });
+    });
+    done();
+  });
+}
+
+interface Fault {
+  readonly error: FastifyError;
+  readonly request: FastifyRequest;
+  readonly reply: FastifyReply;
+  readonly logger: Logger;
+}
+
+function answerFault({ error, request, reply, logger }: Fault): FastifyReply {
+  const status = error.statusCode ?? 500;
+  if (status === 413) {
+    return sendProblem(reply, createResultError("bodyTooLarge", error.message));
+  }
+  if (status < 500) {
+    return sendProblem(reply, createResultError("invalidRequest", error.message));
+  }
+  logger.writeEvent("requestFailed", { request: request.id, error: String(error) });
+  return sendProblem(reply, createResultError("internalFault", `request ${request.id}`));
+}
--- a/packages/daemon/src/state_dump/create_state_dump.ts
+++ b/packages/daemon/src/state_dump/create_state_dump.ts
@@ -1,8 +1,11 @@
+import type { Journal } from "../common/journal.ts";
 import type { ResolvedDaemonConfig } from "../config/mod.ts";
 import { Buffer } from "node:buffer";
 import { timingSafeEqual } from "node:crypto";
 import fastify from "fastify";
 import type { FastifyInstance } from "fastify";
+import { stateDumpSchema } from "@crocussail/protocol";
+import type { StateDump } from "@crocussail/protocol";
 
 /** Options of {@link createStateDump}. */
 export interface StateDumpOptions {
@@ -10,15 +13,20 @@
   readonly incarnation: string;
   /** Bounded dump of each slice, without secrets. */
   readonly sections: Readonly<Record<string, () => unknown>>;
+  readonly journal: Journal;
   readonly isReady: () => boolean;
 }
 
-/** Creates the operators' HTTP server: state, health and readiness. */
+const OPEN_ROUTES = new Set(["/health", "/ready"]);
+
+/** Creates the operators' HTTP server: state, health, readiness and explanations. */
 export function createStateDump(options: StateDumpOptions): FastifyInstance {
-  const server = fastify({ forceCloseConnections: true });
+  const { config } = options;
+  const server = fastify({ forceCloseConnections: true, bodyLimit: 1 });
   server.addHook("onRequest", (request, reply, done) => {
-    const isOpen = request.url === "/health" || request.url === "/ready";
-    if (isOpen || isTokenEqual(request.headers.authorization, options.config.operator.token)) {
+    const isAllowed = OPEN_ROUTES.has(request.url) ||
+      isTokenEqual(request.headers.authorization, config.operator.token);
+    if (isAllowed) {
       done();
       return;
     }
@@ -29,16 +37,31 @@
     const isReady = options.isReady();
     return reply.code(isReady ? 200 : 503).send({ ready: isReady });
   });
-  server.get("/state", () => ({
-    host: options.config.host.name,
-    incarnation: options.incarnation,
-    ...Object.fromEntries(
-      Object.entries(options.sections).map(([name, dump]) => [name, dump()]),
-    ),
-  }));
+  server.get("/state", () => collectState(options));
+  server.get<{ Params: { id: string } }>("/explain/:id", (request, reply) => {
+    const entries = options.journal.listEntries(request.params.id);
+    if (entries.length > 0) {
+      return { request: request.params.id, host: config.host.name, entries };
+    }
+    const error = `no decisions of request "${request.params.id}" on this host; ` +
+      "ask the host that answered it, soon after the answer";
+    return reply.code(404).send({ error });
+  });
   return server;
 }
 
+function collectState(options: StateDumpOptions): StateDump {
+  const { config, incarnation } = options;
+  const sections = Object.entries(options.sections).map(([name, dump]) => [name, dump()]);
+  return stateDumpSchema.parse({
+    host: config.host.name,
+    dataCentre: config.host.dataCentre,
+    incarnation,
+    ready: options.isReady(),
+    slices: Object.fromEntries(sections),
+  });
+}
+
 function isTokenEqual(header: string | undefined, token: string): boolean {
   const given = Buffer.from(header ?? "");
   const wanted = Buffer.from(`Bearer ${token}`);
