--- /dev/null
+++ b/packages/cli/src/common/exit_code.ts
@@ -0,0 +1,9 @@
+/** Exit codes of the command line. */
+export const EXIT_CODE = {
+  /** All went well. */
+  ok: 0,
+  /** The command ran and found a failure. */
+  failure: 1,
+  /** Options, files or settings are not valid. */
+  usage: 2,
+} as const;
--- /dev/null
+++ b/packages/cli/src/load/create_entry_cache.ts
@@ -0,0 +1,71 @@
+import { entryAnswerSchema } from "@crocussail/protocol";
+import type { Clock, EntryAnswer, RandomSource } from "@crocussail/protocol";
+import { request } from "undici";
+
+/** Options of {@link createEntryCache}. */
+export interface EntryCacheOptions {
+  readonly entryUrl: string;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/** The hosts that a caller uses, kept as long as the answer allows. */
+export interface EntryCache {
+  /** Picks a host by weight, not one of `excluded` while another is known; returns its base URL. */
+  pickUrl(excluded?: readonly string[]): Promise<string>;
+  /** Returns a prefix of idempotency keys. */
+  getKeyPrefix(): Promise<string | undefined>;
+  /** Forgets the answer after a host could not be reached. */
+  clear(): void;
+}
+
+/** Creates an empty cache. */
+export function createEntryCache(options: EntryCacheOptions): EntryCache {
+  let known: { answer: EntryAnswer; expiresMs: number } | undefined;
+  let urls = [options.entryUrl];
+
+  const fetchEntry = async (): Promise<EntryAnswer> => {
+    const failures: string[] = [];
+    for (const url of urls) {
+      try {
+        const answer = await request(`${url}/v1/entry`);
+        return entryAnswerSchema.parse(await answer.body.json());
+      } catch (error) {
+        failures.push(`${url}: ${error}`);
+      }
+    }
+    throw new Error(`no host answers GET /v1/entry: ${failures.join("; ")}`);
+  };
+
+  const getAnswer = async (): Promise<EntryAnswer> => {
+    const nowMs = options.clock.readMonotonicMs();
+    if (known !== undefined && known.expiresMs > nowMs) {
+      return known.answer;
+    }
+    const answer = await fetchEntry();
+    urls = [...new Set([...answer.addresses.map(formatUrl), options.entryUrl])];
+    known = { answer, expiresMs: nowMs + answer.ttl_ms };
+    return answer;
+  };
+
+  return {
+    pickUrl: async (excluded = []) => {
+      const { addresses } = await getAnswer();
+      const others = addresses.filter((item) => !excluded.includes(formatUrl(item)));
+      const candidates = others.length > 0 ? others : addresses;
+      const total = candidates.reduce((sum, item) => sum + item.weight, 0);
+      let rest = options.random.nextFloat() * total;
+      const picked = candidates.find((item) => (rest -= item.weight) < 0) ?? candidates[0];
+      return picked === undefined ? options.entryUrl : formatUrl(picked);
+    },
+    getKeyPrefix: async () => (await getAnswer()).key_prefix,
+    clear: () => {
+      known = undefined;
+    },
+  };
+}
+
+function formatUrl(item: { address: string; port: number }): string {
+  const host = item.address.includes(":") ? `[${item.address}]` : item.address;
+  return `http://${host}:${item.port}`;
+}
--- /dev/null
+++ b/packages/cli/src/load/list_broken_promises.ts
@@ -0,0 +1,17 @@
+import type { LoadSummary } from "./load_summary_schema.ts";
+
+/** Lists what a load run saw that must never happen, one line each. */
+export function listBrokenPromises(summaries: readonly LoadSummary[]): string[] {
+  return summaries.flatMap((summary) => {
+    const counts: readonly (readonly [string, number])[] = [
+      ["tokens lost", summary.tokensLost],
+      ["tokens doubled", summary.tokensDoubled],
+      ["tokens out of order", summary.tokensOutOfOrder],
+      ["tokens of another stream", summary.tokensForeign],
+      ["orders doubled", summary.ordersDoubled],
+    ];
+    return counts
+      .filter(([, count]) => count > 0)
+      .map(([name, count]) => `${summary.kind}: ${count} ${name}`);
+  });
+}
--- /dev/null
+++ b/packages/cli/src/load/load_command.ts
@@ -0,0 +1,91 @@
+import { createSeededRandom, createSystemClock } from "@crocussail/daemon";
+import { Command, Option } from "clipanion";
+import process from "node:process";
+import { EXIT_CODE } from "../common/exit_code.ts";
+import { LOAD_DEFAULTS } from "./constants.ts";
+import { listBrokenPromises } from "./list_broken_promises.ts";
+import { renderLoadTable } from "./render_load_table.ts";
+import { resolveLoadPlan } from "./resolve_load_plan.ts";
+import { runLoad } from "./run_load.ts";
+
+const KEY_VARIABLE = "CROCUSSAIL_API_KEY";
+const PROGRESS_EVERY = 50;
+
+/** `crocussail load`: a bounded load that behaves as a real caller does. */
+export class LoadCommand extends Command {
+  static override paths = [["load"]];
+  static override usage = Command.Usage({
+    description: "Sends a bounded, seeded load and checks every answer",
+    details: "The API key is taken from CROCUSSAIL_API_KEY. Exit code 1 when tokens or orders " +
+      "were lost, doubled or mixed up, 2 when the options are not valid.",
+    examples: [
+      ["A hundred requests", "$0 load http://10.0.0.1:8001 --model plan-70b --requests 100"],
+      [
+        "Half the streams resumed, as JSON",
+        "$0 load http://10.0.0.1:8001 --model plan-70b --resume-share 0.5 --json",
+      ],
+    ],
+  });
+
+  url = Option.String({ name: "host url" });
+  model = Option.String("--model", { required: true, description: "Model of the generations" });
+  service = Option.String("--service", LOAD_DEFAULTS.service, {
+    description: "Plain service of orders and reads",
+  });
+  orderPath = Option.String("--order-path", LOAD_DEFAULTS.orderPath, {
+    description: "Path of an order below the service",
+  });
+  readPath = Option.String("--read-path", LOAD_DEFAULTS.readPath, {
+    description: "Path of a read below the service",
+  });
+  kind = Option.String("--kind", LOAD_DEFAULTS.kind, { description: "Kind of work" });
+  mix = Option.String("--mix", LOAD_DEFAULTS.mix, {
+    description: "Weights of the requests, for example chat=8,order=1,read=1",
+  });
+  requests = Option.String("--requests", String(LOAD_DEFAULTS.requests), {
+    description: "Requests sent at most",
+  });
+  seconds = Option.String("--seconds", String(LOAD_DEFAULTS.seconds), {
+    description: "Seconds after which no request is started",
+  });
+  concurrency = Option.String("--concurrency", String(LOAD_DEFAULTS.concurrency), {
+    description: "Requests at once",
+  });
+  maxTokens = Option.String("--max-tokens", String(LOAD_DEFAULTS.maxTokens), {
+    description: "Tokens of an answer at most",
+  });
+  seed = Option.String("--seed", String(LOAD_DEFAULTS.seed), { description: "Random seed" });
+  resumeShare = Option.String("--resume-share", String(LOAD_DEFAULTS.resumeShare), {
+    description: "Share of streams dropped once and resumed at another host",
+  });
+  deadlineMs = Option.String("--deadline-ms", String(LOAD_DEFAULTS.deadlineMs), {
+    description: "Time after which an answer counts as late",
+  });
+  json = Option.Boolean("--json", false, { description: "Print JSON" });
+
+  override async execute(): Promise<number> {
+    const plan = resolveLoadPlan({ ...this, apiKey: process.env[KEY_VARIABLE] });
+    if (plan.isLeft()) {
+      this.context.stderr.write(`${plan.swap().unsafeCoerce().detail}\n`);
+      return EXIT_CODE.usage;
+    }
+    const resolved = plan.unsafeCoerce();
+    const summaries = await runLoad({
+      plan: resolved,
+      clock: createSystemClock(),
+      random: createSeededRandom(resolved.seed),
+      reportProgress: (ended) => this.reportProgress(ended, resolved.requests),
+    });
+    const text = this.json ? JSON.stringify(summaries, null, 2) : renderLoadTable(summaries);
+    this.context.stdout.write(`${text}\n`);
+    const broken = listBrokenPromises(summaries);
+    broken.forEach((line) => this.context.stderr.write(`broken: ${line}\n`));
+    return broken.length === 0 ? EXIT_CODE.ok : EXIT_CODE.failure;
+  }
+
+  private reportProgress(ended: number, requests: number): void {
+    if (ended % PROGRESS_EVERY === 0) {
+      this.context.stderr.write(`${ended} of ${requests} requests ended\n`);
+    }
+  }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,5 +1,23 @@
 #!/usr/bin/env node
-import { runExit } from "clipanion";
+import { Builtins, Cli } from "clipanion";
+import process from "node:process";
 import { DemoCommand } from "./demo/demo_command.ts";
+import { EntryCommand } from "./entry/entry_command.ts";
+import { ExplainCommand } from "./explain/explain_command.ts";
+import { LoadCommand } from "./load/load_command.ts";
+import { StateCommand } from "./state/state_command.ts";
 
-runExit({ binaryLabel: "crocussail", binaryName: "crocussail" }, [DemoCommand]);
+const cli = new Cli({ binaryLabel: "crocussail", binaryName: "crocussail" });
+for (
+  const command of [
+    Builtins.HelpCommand,
+    DemoCommand,
+    EntryCommand,
+    ExplainCommand,
+    LoadCommand,
+    StateCommand,
+  ]
+) {
+  cli.register(command);
+}
+cli.runExit(process.argv.slice(2));
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -5,3 +5,7 @@
 export type { Daemon, DaemonOptions, DaemonPorts } from "./create_daemon.ts";
 export { createProcessDaemon } from "./create_process_daemon.ts";
 export type { ProcessDaemonOptions } from "./create_process_daemon.ts";
+export { createSystemClock } from "./adapters/create_system_clock.ts";
+export { createManualClock } from "./common/create_manual_clock.ts";
+export type { ManualClock } from "./common/create_manual_clock.ts";
+export { createSeededRandom } from "./common/create_seeded_random.ts";
