Validate settings by value and by tree, with lines and advice

Cause: ini.parse drops reserved names, merges duplicates, nests dotted sections and cuts values at comment signs without a word. Exported from @crocussail/daemon for the command line: validateSettingsValue(path, text) and checkSettingsTree(Map<path, text>), both returning {path, line, name, message, advice}.

--- /dev/null
+++ b/packages/daemon/src/common/check_ini_text_test.ts
@@ -0,0 +1,33 @@
+import { expect } from "chai";
+import { checkIniText } from "./check_ini_text.ts";
+
+const CASES: readonly [title: string, text: string, line: number, message: RegExp][] = [
+  ["duplicate name", "a = 1\nb = 2\na = 3\n", 3, /already set in line 1/],
+  ["same name in two cases", "max_body = 1\nmaxBody = 2\n", 2, /already set in line 1/],
+  ["duplicate section", "[x]\na = 1\n[y]\n[x]\n", 4, /already set in line 1/],
+  ["reserved section", "[__proto__]\na = 1\n", 1, /cannot be used/],
+  ["reserved name", "__proto__ = 1\n", 1, /cannot be used/],
+  ["list", "x[] = 1\n", 1, /lists/],
+  ["dot in a section", "[a.b]\n", 1, /nest/],
+  ["no equals sign", "flag\n", 1, /neither/],
+  ["unclosed section", "[abc\na = 1\n", 1, /neither/],
+  ["unclosed quote", 'a = "b\n', 1, /closing quote/],
+  ["value cut by a comment sign", "url = http://10.0.0.1/#x\n", 1, /cut/],
+  ["Windows line ends", "a = 1\r\na = 2\r\n", 2, /already set/],
+];
+
+describe("checkIniText", () => {
+  for (const [title, text, line, message] of CASES) {
+    it(`reports ${title}`, () => {
+      const findings = checkIniText(text);
+      expect(findings.map((finding) => finding.line)).to.deep.equal([line]);
+      expect(findings[0]?.message).to.match(message);
+      expect(findings[0]?.advice).to.not.equal("");
+    });
+  }
+
+  it("accepts quotes, comments, and the same name in two sections", () => {
+    const text = "; note\na = \"x;y\" \n[p]\na = 1 ; why\n[q]\na = 'z'\n";
+    expect(checkIniText(text)).to.deep.equal([]);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/common/split_ini_lines.ts
@@ -0,0 +1,26 @@
+/** One meaningful line of an INI text. */
+export type IniLine =
+  | { readonly kind: "section"; readonly line: number; readonly name: string }
+  | { readonly kind: "value"; readonly line: number; readonly name: string; readonly text: string }
+  | { readonly kind: "other"; readonly line: number; readonly text: string };
+
+/** Splits an INI text into sections, values and lines that are neither; comments are left out. */
+export function splitIniLines(text: string): IniLine[] {
+  return text.split(/\r?\n/).flatMap((raw, index): IniLine[] => {
+    const trimmed = raw.trim();
+    if (trimmed === "" || trimmed.startsWith(";") || trimmed.startsWith("#")) {
+      return [];
+    }
+    const line = index + 1;
+    const section = /^\[([^\]]*)\]\s*(?:[;#].*)?$/.exec(trimmed)?.[1];
+    if (section !== undefined) {
+      return [{ kind: "section", line, name: section.trim() }];
+    }
+    const separator = trimmed.indexOf("=");
+    if (separator <= 0 || trimmed.startsWith("[")) {
+      return [{ kind: "other", line, text: trimmed }];
+    }
+    const name = trimmed.slice(0, separator).trim();
+    return [{ kind: "value", line, name, text: trimmed.slice(separator + 1).trim() }];
+  });
+}
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -5,3 +5,5 @@
 export type { Daemon, DaemonOptions, DaemonPorts } from "./create_daemon.ts";
 export { createProcessDaemon } from "./create_process_daemon.ts";
 export type { ProcessDaemonOptions } from "./create_process_daemon.ts";
+export { checkSettingsTree, validateSettingsValue } from "./settings/mod.ts";
+export type { SettingsFinding } from "./settings/mod.ts";
