--- a/packages/daemon/src/common/collect_ini_findings.ts
+++ b/packages/daemon/src/common/collect_ini_findings.ts
@@ -2,39 +2,49 @@
 import { convertToSnakeCase } from "./convert_to_snake_case.ts";
 import { findNearestName } from "./find_nearest_name.ts";
 import type { IniFinding } from "./ini_finding.ts";
+import { listSchemaNames } from "./list_schema_names.ts";
 import { locateIniLine } from "./locate_ini_line.ts";
 
+/** An INI text and the schema it was checked by. */
+export interface IniFindingSource {
+  readonly text: string;
+  /** Names the known values when one is misspelt. */
+  readonly schema?: z.ZodType;
+}
+
 /** Converts one schema issue about an INI text into findings with lines and advice. */
-export function collectIniFindings(text: string, issue: z.core.$ZodIssue): IniFinding[] {
-  const path = issue.path.map(String);
-  if (issue.code !== "unrecognized_keys") {
-    return [{
-      line: locateIniLine(text, path),
-      name: formatName(path),
-      message: issue.message,
-      advice: "correct the value",
-    }];
+export function collectIniFindings(source: IniFindingSource, issue: z.core.$ZodIssue) {
+  if (issue.code === "unrecognized_keys") {
+    const known = source.schema === undefined ? [] : listSchemaNames(source.schema, issue.path);
+    return issue.keys.map((key) =>
+      buildFinding(source, [...issue.path, key], "unknown name", adviseName(key, known))
+    );
   }
-  const known = listKnownNames(issue);
-  return issue.keys.map((key) => {
-    const nearest = findNearestName(key, known);
-    return {
-      line: locateIniLine(text, [...path, key]),
-      name: formatName([...path, key]),
-      message: "unknown name",
-      advice: nearest === undefined
-        ? "remove it"
-        : `did you mean "${convertToSnakeCase(nearest)}"?`,
-    };
-  });
+  const isMissing = issue.code === "invalid_type" && issue.message.endsWith("received undefined");
+  if (!isMissing) {
+    return [buildFinding(source, issue.path, issue.message, "")];
+  }
+  const subject = issue.expected === "object" ? "section" : "value";
+  return [buildFinding(source, issue.path, `${subject} is missing`, "add it")];
 }
 
-function listKnownNames(issue: z.core.$ZodIssue): readonly string[] {
-  const shape = (issue as { inst?: { def?: { shape?: Record<string, unknown> } } }).inst?.def
-    ?.shape;
-  return Object.keys(shape ?? {});
+function buildFinding(
+  source: IniFindingSource,
+  path: readonly PropertyKey[],
+  message: string,
+  advice: string,
+): IniFinding {
+  const parts = path.map(String);
+  const name = parts.map(convertToSnakeCase).join(".");
+  return { line: locateIniLine(source.text, parts), name, message, advice };
 }
 
-function formatName(path: readonly string[]): string {
-  return path.map(convertToSnakeCase).join(".");
+function adviseName(name: string, known: readonly string[]): string {
+  if (known.length === 0) {
+    return "remove it";
+  }
+  const nearest = findNearestName(name, known);
+  return nearest === undefined
+    ? `known names are ${known.map(convertToSnakeCase).join(", ")}`
+    : `did you mean "${convertToSnakeCase(nearest)}"?`;
 }
--- a/packages/daemon/src/common/describe_ini_issue.ts
+++ b/packages/daemon/src/common/describe_ini_issue.ts
@@ -1,20 +1,22 @@
 import type { z } from "zod";
 import { collectIniFindings } from "./collect_ini_findings.ts";
 
-/** A named INI text. */
+/** A named INI text and the schema it was checked by. */
 export interface IniSource {
   /** File or settings path, for messages. */
   readonly file: string;
   readonly text: string;
+  /** Names the known values when one is misspelt. */
+  readonly schema?: z.ZodType;
 }
 
-/** Renders one schema issue as `file:line: section.name: what was expected`. */
+/** Renders one schema issue as `file:line: section.name: what was expected; what to do`. */
 export function describeIniIssue(source: IniSource, issue: z.core.$ZodIssue): string {
-  return collectIniFindings(source.text, issue)
+  return collectIniFindings(source, issue)
     .map(({ line, name, message, advice }) =>
-      issue.code === "unrecognized_keys"
-        ? `${source.file}:${line}: ${name}: ${message}; ${advice}`
-        : `${source.file}:${line}: ${name}: ${message}`
+      [`${source.file}:${line}: ${name}: ${message}`, advice].filter((part) => part !== "").join(
+        "; ",
+      )
     )
     .join("\n");
 }
--- a/packages/daemon/src/common/ini_finding.ts
+++ b/packages/daemon/src/common/ini_finding.ts
@@ -6,6 +6,6 @@
   readonly name: string;
   /** What is wrong. */
   readonly message: string;
-  /** What to do about it. */
+  /** What to do about it; empty when the message says so itself. */
   readonly advice: string;
 }
--- a/packages/daemon/src/settings/parse_settings_value.ts
+++ b/packages/daemon/src/settings/parse_settings_value.ts
@@ -46,8 +46,8 @@
   const parsed = entry.schema.safeParse(parseIni(text));
   return parsed.success ? Right(parsed.data) : Left(
     parsed.error.issues
-      .flatMap((issue) => collectIniFindings(text, issue))
-      .map((finding) => ({ path, ...finding })),
+      .flatMap((issue) => collectIniFindings({ text, schema: entry.schema }, issue))
+      .map((finding) => ({ path, ...finding, advice: finding.advice || "correct the value" })),
   );
 }
 
