Let a local fleet stop and replace one daemon

Failure tests need a process that ends as by a crash and a new incarnation under the same host name, on new ports. stopDaemon and replaceDaemon do this; wrapService holds or fails calls of plain services. Shown by replace_daemon_test.ts.

--- a/packages/daemon/src/create_process_daemon.ts
+++ b/packages/daemon/src/create_process_daemon.ts
@@ -6,6 +6,7 @@
 import { createStatsdMetrics } from "./adapters/create_statsd_metrics.ts";
 import { createSystemClock } from "./adapters/create_system_clock.ts";
 import { createSystemRandom } from "./adapters/create_system_random.ts";
+import type { ServiceClient } from "./adapters/service_client.ts";
 import type { ResolvedDaemonConfig } from "./config/mod.ts";
 import { createDaemon } from "./create_daemon.ts";
 import type { Daemon } from "./create_daemon.ts";
@@ -14,6 +15,8 @@
 export interface ProcessDaemonOptions {
   /** Lowest log level written; consola's numbers, 3 is info. */
   readonly logLevel?: number;
+  /** Wraps the client of plain services; tests hold or fail calls with it. */
+  readonly wrapService?: (client: ServiceClient) => ServiceClient;
 }
 
 /** Creates a daemon on the real clock, network and logger. */
@@ -23,6 +26,7 @@
 ): Daemon {
   const clock = createSystemClock();
   const { host, metrics } = config;
+  const { wrapService = (client) => client } = options;
   return createDaemon({
     config,
     clock,
@@ -37,6 +41,6 @@
       : createStatsdMetrics({ ...metrics, tags: { host: host.name } }),
     settingsSource: createEtcdSettingsSource({ urls: config.settingsService.urls }),
     engine: createHttpEngineClient(),
-    service: createHttpServiceClient(),
+    service: wrapService(createHttpServiceClient()),
   });
 }
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -1,4 +1,5 @@
 /** The daemon as a library, for the command line, tests and measurements. @module */
+export type { ServiceClient, ServiceRequest, ServiceResponse } from "./adapters/service_client.ts";
 export { resolveDaemonConfig } from "./config/mod.ts";
 export type { ResolvedDaemonConfig } from "./config/mod.ts";
 export { createDaemon } from "./create_daemon.ts";
--- a/packages/local_fleet/src/create_local_fleet.ts
+++ b/packages/local_fleet/src/create_local_fleet.ts
@@ -1,10 +1,10 @@
-import { createProcessDaemon, resolveDaemonConfig } from "@crocussail/daemon";
-import type { Daemon, DaemonPorts } from "@crocussail/daemon";
+import type { ServiceClient } from "@crocussail/daemon";
 import { createEngine, createPlainService, createSettingsService } from "@crocussail/stand_ins";
 import type { Engine, PlainService, SettingsService } from "@crocussail/stand_ins";
 import { createHash } from "node:crypto";
-import { formatDaemonSettings } from "./format_daemon_settings.ts";
-import { formatHostValue } from "./format_host_value.ts";
+import type { LocalDaemon } from "./local_daemon.ts";
+import { publishDaemon } from "./publish_daemon.ts";
+import { startLocalDaemon } from "./start_local_daemon.ts";
 
 /** Options of {@link createLocalFleet}. */
 export interface LocalFleetOptions {
@@ -16,18 +16,13 @@
   readonly tokenMs?: number;
   /** Tokens of an answer. */
   readonly answerTokens?: number;
-}
-
-/** One daemon of a local fleet. */
-export interface LocalDaemon {
-  readonly daemon: Daemon;
-  readonly ports: DaemonPorts;
-  /** Base URL for callers. */
-  readonly url: string;
+  /** Wraps every daemon's client of plain services; tests hold or fail calls with it. */
+  readonly wrapService?: (client: ServiceClient) => ServiceClient;
 }
 
 /** Daemons and stand-ins on loopback, in one process. */
 export interface LocalFleet {
+  /** Daemons by index; a replaced one stands at the index of its predecessor. */
   readonly daemons: readonly LocalDaemon[];
   readonly settingsService: SettingsService;
   readonly engines: readonly Engine[];
@@ -36,13 +31,19 @@
   readonly apiKey: string;
   /** Operator token of every daemon. */
   readonly operatorToken: string;
+  /** Ends a daemon at once, as a crash would; it stays published. */
+  stopDaemon(index: number): Promise<void>;
+  /**
+   * Starts a new process incarnation under the host name of the daemon at `index`, on new ports,
+   * and publishes it. A daemon that still runs is stopped first, as by a crash.
+   */
+  replaceDaemon(index: number): Promise<LocalDaemon>;
   close(): Promise<void>;
 }
 
 const API_KEY = "planners-local-key";
 const OPERATOR_TOKEN = "local-operator-token";
 const DATA_CENTRES = ["toledo", "detroit", "cleveland", "buffalo"];
-const LOG_LEVEL_WARN = 1;
 
 /** Starts a local fleet: settings service, two engines, one plain service and the daemons. */
 export async function createLocalFleet(options: LocalFleetOptions): Promise<LocalFleet> {
@@ -58,12 +59,23 @@
     values: { ...createValues(engines, service), ...options.values },
   });
   const daemons: LocalDaemon[] = [];
+  const startDaemon = async (index: number) => {
+    const started = await startLocalDaemon({
+      host: `host-${index + 1}`,
+      dataCentre: getDataCentre(index),
+      settingsUrl: settingsService.url,
+      operatorToken: OPERATOR_TOKEN,
+      ...(options.wrapService === undefined ? {} : { wrapService: options.wrapService }),
+    });
+    daemons[index] = started;
+    publishDaemon(settingsService, started, getDataCentre(index));
+    return started;
+  };
+  const stopDaemon = async (index: number) => {
+    await daemons[index]?.daemon.stop();
+  };
   for (let index = 0; index < options.hosts; index++) {
-    const started = await startDaemon(index, settingsService.url);
-    daemons.push(started);
-    const dataCentre = getDataCentre(index);
-    const value = formatHostValue({ ports: started.ports, dataCentre });
-    settingsService.putValue(`hosts/${started.daemon.host}`, value);
+    await startDaemon(index);
   }
   const close = async () => {
     await Promise.all(daemons.map(({ daemon }) => daemon.stop()));
@@ -76,23 +88,15 @@
     service,
     apiKey: API_KEY,
     operatorToken: OPERATOR_TOKEN,
+    stopDaemon,
+    replaceDaemon: async (index) => {
+      await stopDaemon(index);
+      return startDaemon(index);
+    },
     close,
   };
 }
 
-async function startDaemon(index: number, settingsUrl: string): Promise<LocalDaemon> {
-  const text = formatDaemonSettings({
-    host: `host-${index + 1}`,
-    dataCentre: getDataCentre(index),
-    settingsUrl,
-    operatorToken: OPERATOR_TOKEN,
-  });
-  const config = resolveDaemonConfig({ file: `host-${index + 1}.ini`, text }).unsafeCoerce();
-  const daemon = createProcessDaemon(config, { logLevel: LOG_LEVEL_WARN });
-  const ports = await daemon.start();
-  return { daemon, ports, url: `http://127.0.0.1:${ports.caller}` };
-}
-
 function createValues(engines: readonly Engine[], service: PlainService): Record<string, string> {
   const values: Record<string, string> = {
     "fleet/services": "[stock]\nnon_repeatable = POST /bookings\n",
