--- a/packages/daemon/src/common/collect_ini_findings.ts
+++ b/packages/daemon/src/common/collect_ini_findings.ts
@@ -17,7 +17,7 @@
   if (issue.code === "unrecognized_keys") {
     const known = source.schema === undefined ? [] : listSchemaNames(source.schema, issue.path);
     return issue.keys.map((key) =>
-      buildFinding(source, [...issue.path, key], "unknown name", adviseName(key, known))
+      buildFinding(source, [...issue.path, key], "unknown name", describeNameAdvice(key, known))
     );
   }
   const isMissing = issue.code === "invalid_type" && issue.message.endsWith("received undefined");
@@ -39,7 +39,7 @@
   return { line: locateIniLine(source.text, parts), name, message, advice };
 }
 
-function adviseName(name: string, known: readonly string[]): string {
+function describeNameAdvice(name: string, known: readonly string[]): string {
   if (known.length === 0) {
     return "remove it";
   }
