--- a/packages/daemon/src/create_process_daemon.ts
+++ b/packages/daemon/src/create_process_daemon.ts
@@ -7,6 +7,7 @@
 import { createStatsdMetrics } from "./adapters/create_statsd_metrics.ts";
 import { createSystemClock } from "./adapters/create_system_clock.ts";
 import { createSystemRandom } from "./adapters/create_system_random.ts";
+import type { ServiceClient } from "./adapters/service_client.ts";
 import type { ResolvedDaemonConfig } from "./config/mod.ts";
 import { createDaemon } from "./create_daemon.ts";
 import type { Daemon } from "./create_daemon.ts";
@@ -16,6 +17,8 @@
 export interface ProcessDaemonOptions {
   /** Lowest log level written; consola's numbers, 3 is info. */
   readonly logLevel?: number;
+  /** Wraps the client of plain services; tests hold or fail calls with it. */
+  readonly wrapService?: (client: ServiceClient) => ServiceClient;
   /** Areas whose debug events are written, for example `orders`. */
   readonly debugAreas?: readonly string[];
   /** Certificate and key of the callers' listener. */
@@ -29,6 +32,7 @@
 ): Daemon {
   const clock = createSystemClock();
   const { host, metrics } = config;
+  const { wrapService = (client) => client } = options;
   return createDaemon({
     config,
     clock,
@@ -44,7 +48,7 @@
       : createStatsdMetrics({ ...metrics, tags: { host: host.name } }),
     settingsSource: createEtcdSettingsSource({ urls: config.settingsService.urls }),
     engine: createHttpEngineClient(),
-    service: createHttpServiceClient(),
+    service: wrapService(createHttpServiceClient()),
     readUsage: createProcessUsageReader(),
     ...(options.tls === undefined ? {} : { tls: options.tls }),
   });
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -1,4 +1,5 @@
 /** The daemon as a library, for the command line, tests and measurements. @module */
+export type { ServiceClient, ServiceRequest, ServiceResponse } from "./adapters/service_client.ts";
 export { resolveDaemonConfig } from "./config/mod.ts";
 export type { ResolvedDaemonConfig } from "./config/mod.ts";
 export { createDaemon } from "./create_daemon.ts";
@@ -9,3 +10,5 @@
 export { createManualClock } from "./common/create_manual_clock.ts";
 export type { ManualClock } from "./common/create_manual_clock.ts";
 export { createSeededRandom } from "./common/create_seeded_random.ts";
+export { checkSettingsTree, validateSettingsValue } from "./settings/mod.ts";
+export type { SettingsFinding } from "./settings/mod.ts";
