Add check, complete example trees and tables of hostile input

Cause: operators had no check of a tree, and no test showed what listeners do with hostile input. Found: a malformed peer message logged an unbounded reason under the wrong event; it has its own event and a bounded reason now.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { Builtins, Cli } from "clipanion";
 import process from "node:process";
+import { CheckCommand } from "./check/check_command.ts";
 import { DemoCommand } from "./demo/demo_command.ts";
 import { EntryCommand } from "./entry/entry_command.ts";
 import { ExplainCommand } from "./explain/explain_command.ts";
@@ -11,6 +12,7 @@
 for (
   const command of [
     Builtins.HelpCommand,
+    CheckCommand,
     DemoCommand,
     EntryCommand,
     ExplainCommand,
--- a/packages/daemon/src/http/constants.ts
+++ b/packages/daemon/src/http/constants.ts
@@ -10,6 +10,8 @@
   headersTimeoutMs: 10_000,
   /** Time to receive the whole request, in milliseconds; a slower sender gets 408. */
   requestTimeoutMs: 30_000,
+  /** Interval at which slow senders are looked for, in milliseconds. */
+  checkIntervalMs: 1_000,
   /** Time for which an idle connection is kept, in milliseconds. */
   keepAliveMs: 60_000,
 } as const;
--- a/packages/daemon/src/http/create_caller_server.ts
+++ b/packages/daemon/src/http/create_caller_server.ts
@@ -19,6 +19,11 @@
   readonly tls?: TlsMaterial;
 }
 
+const HTTP_OPTIONS = {
+  maxHeaderSize: CALLER_LIMITS.maxHeaderBytes,
+  connectionsCheckingInterval: CALLER_LIMITS.checkIntervalMs,
+};
+
 /** Creates the HTTP server for callers; slices register their routes on it. */
 export function createCallerServer(options: CallerServerOptions): FastifyInstance {
   const server = fastify({
@@ -27,10 +32,8 @@
     keepAliveTimeout: CALLER_LIMITS.keepAliveMs,
     genReqId: options.createRequestId,
     forceCloseConnections: true,
-    http: { maxHeaderSize: CALLER_LIMITS.maxHeaderBytes },
-    https: options.tls === undefined
-      ? null
-      : { ...options.tls, maxHeaderSize: CALLER_LIMITS.maxHeaderBytes },
+    http: HTTP_OPTIONS,
+    https: options.tls === undefined ? null : { ...options.tls, ...HTTP_OPTIONS },
     // The union of plain and TLS servers has one routing interface.
   } as object) as unknown as FastifyInstance;
   server.server.maxConnections = CALLER_LIMITS.maxConnections;
--- a/packages/daemon/src/peers/constants.ts
+++ b/packages/daemon/src/peers/constants.ts
@@ -8,4 +8,6 @@
   handshakeTimeoutMs: 2_000,
   /** Requests of one link waiting for a reply; more are refused. */
   maxPendingRequests: 10_000,
+  /** Characters kept of the reason for rejecting a message. */
+  maxReasonCharacters: 200,
 } as const;
--- a/packages/daemon/src/peers/create_peer_link.ts
+++ b/packages/daemon/src/peers/create_peer_link.ts
@@ -81,7 +81,11 @@
       const body = await handler(from, frame.body);
       sendPeerFrame(socket, { type: "reply", id: frame.id, body });
     } catch (error) {
-      sendPeerFrame(socket, { type: "failure", id: frame.id, detail: String(error) });
+      sendPeerFrame(socket, {
+        type: "failure",
+        id: frame.id,
+        detail: String(error).slice(0, PEER_LIMITS.maxReasonCharacters),
+      });
     }
   };
 
@@ -111,7 +115,8 @@
     try {
       await handlers.get(channel)?.(from, body);
     } catch (error) {
-      options.logger.writeEvent("requestFailed", { peer: from, channel, error: String(error) });
+      const reason = String(error).slice(0, PEER_LIMITS.maxReasonCharacters);
+      options.logger.writeEvent("peerMessageRejected", { peer: from, channel, reason });
     }
   };
 
--- a/packages/local_fleet/src/create_local_fleet.ts
+++ b/packages/local_fleet/src/create_local_fleet.ts
@@ -12,6 +12,10 @@
   readonly hosts: number;
   /** Further published values by path; they replace those of the fleet. */
   readonly values?: Readonly<Record<string, string>>;
+  /** Creates all published values but the hosts, in place of those of the fleet. */
+  readonly createValues?: (standIns: LocalStandIns) => Readonly<Record<string, string>>;
+  /** Models that the engines hold. */
+  readonly models?: readonly string[];
   /** Time between two tokens of an engine, in milliseconds. */
   readonly tokenMs?: number;
   /** Tokens of an answer. */
@@ -41,6 +45,12 @@
   close(): Promise<void>;
 }
 
+/** Stand-ins that published values refer to. */
+export interface LocalStandIns {
+  readonly engines: readonly Engine[];
+  readonly service: PlainService;
+}
+
 const API_KEY = "planners-local-key";
 const OPERATOR_TOKEN = "local-operator-token";
 const DATA_CENTRES = ["toledo", "detroit", "cleveland", "buffalo"];
@@ -49,14 +59,17 @@
 export async function createLocalFleet(options: LocalFleetOptions): Promise<LocalFleet> {
   const engines = await Promise.all([1, 2].map(() =>
     createEngine({
-      models: ["plan-70b"],
+      models: options.models ?? ["plan-70b"],
       ...(options.tokenMs === undefined ? {} : { tokenMs: options.tokenMs }),
       ...(options.answerTokens === undefined ? {} : { answerTokens: options.answerTokens }),
     })
   ));
   const service = await createPlainService();
   const settingsService = await createSettingsService({
-    values: { ...createValues(engines, service), ...options.values },
+    values: {
+      ...(options.createValues ?? createValues)({ engines, service }),
+      ...options.values,
+    },
   });
   const daemons: LocalDaemon[] = [];
   const startDaemon = async (index: number) => {
@@ -97,7 +110,7 @@
   };
 }
 
-function createValues(engines: readonly Engine[], service: PlainService): Record<string, string> {
+function createValues({ engines, service }: LocalStandIns): Record<string, string> {
   const values: Record<string, string> = {
     "fleet/services": "[stock]\nnon_repeatable = POST /bookings\n",
     "models/plan-70b": "version = 1\nreplicas = 2\n",
--- a/packages/protocol/src/events/general_events.ts
+++ b/packages/protocol/src/events/general_events.ts
@@ -18,4 +18,10 @@
     title: "Peer failed the fleet key handshake",
     action: "Check that both hosts hold the same fleet key",
   },
+  peerMessageRejected: {
+    number: 1006,
+    level: "warn",
+    title: "Message of a peer rejected",
+    action: "Check that both hosts run the same version",
+  },
 } as const satisfies Record<string, EventEntry>;
--- a/packages/stand_ins/src/service/create_plain_service.ts
+++ b/packages/stand_ins/src/service/create_plain_service.ts
@@ -8,18 +8,18 @@
   listRuns(): ReadonlyMap<string, number>;
 }
 
-/** Starts a fake plain service: `POST /bookings` runs an order, `GET /stock` reads. */
+/** Starts a fake plain service: every `POST` runs an order, every `GET` reads. */
 export async function createPlainService(options: { port?: number } = {}): Promise<PlainService> {
   const runs = new Map<string, number>();
   const server = fastify();
-  server.post("/bookings", (request, reply) => {
+  server.post("/*", (request, reply) => {
     const { order } = request.body as { order: string };
     const count = (runs.get(order) ?? 0) + 1;
     runs.set(order, count);
     reply.code(201);
     return { order, booking: `B-${runs.size}` };
   });
-  server.get("/stock", () => ({ containers: 42 }));
+  server.get("/*", () => ({ containers: 42 }));
   const started = await startLoopbackServer(server, options.port);
   return { ...started, listRuns: () => runs };
 }
