--- a/packages/daemon/src/generations/serve_generation.ts
+++ b/packages/daemon/src/generations/serve_generation.ts
@@ -65,6 +65,7 @@
     const fields = { upstream, generation, ran: failed.ran, cause: failed.error.code };
     context.journal.recordDecision(requestId, "generations", effect.type, { ...fields, ...effect });
     if (effect.type === "fail") {
+      context.metrics.increment("generations.lost", 1, { reason: effect.reason });
       context.logger.writeEvent("generationLost", {
         request: requestId,
         ...fields,
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -17,6 +17,26 @@
     unit: "streams",
     meaning: "Generations relayed by this daemon",
   },
+  "generations.ended": {
+    type: "counter",
+    unit: "streams",
+    meaning: "Ended streams, by tag `end`: finished, stopped, slow or tooLarge",
+  },
+  "generations.lost": {
+    type: "counter",
+    unit: "requests",
+    meaning: "Requests that ended without a whole answer, by tag `reason`",
+  },
+  "generations.reconnects": {
+    type: "counter",
+    unit: "reconnects",
+    meaning: "Reconnects to upstreams after a link fault",
+  },
+  "generations.placed_again": {
+    type: "counter",
+    unit: "placements",
+    meaning: "Further placements of a request before its first token",
+  },
   "orders.running": {
     type: "gauge",
     unit: "calls",
