--- a/packages/daemon/src/generations/create_generations.ts
+++ b/packages/daemon/src/generations/create_generations.ts
@@ -53,7 +53,7 @@
     canceller,
     runs,
     slots,
-    handover: createHandover({ context, limits, runs }),
+    handover: createHandover({ context, membership, limits, runs }),
     quarantine,
     retryBudget: { tokens: limits.retryBurst },
   };
--- a/packages/daemon/src/generations/create_run_table.ts
+++ b/packages/daemon/src/generations/create_run_table.ts
@@ -21,8 +21,13 @@
   holdRun(run: Run): void;
   /** Takes a run from its stream or from its hold, for a stream that continues it here. */
   takeOver(generation: string, team: string): Run | undefined;
-  /** Takes a run for a stream on another host, and keeps its accounting until that one ends. */
-  moveRun(generation: string, team: string): boolean;
+  /** Takes a moved run back, for a stream that continues it here. */
+  reclaimRun(generation: string, team: string): MovedRun | undefined;
+  /**
+   * Takes a run for a stream on another host, and keeps its accounting until that one ends.
+   * Returns the host that relayed it before, if that was yet another.
+   */
+  moveRun(generation: string, team: string, host: string): string | undefined;
   /** Ends the accounting of a moved run. */
   finishMoved(generation: string, team: string, outcome: AdmissionOutcome, tokens: number): void;
   /** Number of runs held for a resume. */
@@ -31,6 +36,12 @@
   dumpState(): unknown;
 }
 
+/** A run whose stream goes on at another host. */
+export interface MovedRun {
+  readonly run: Run;
+  readonly host: string;
+}
+
 interface KeptRun {
   readonly run: Run;
   readonly timer: IdleTimer;
@@ -45,7 +56,7 @@
   const { clock, limits } = options;
   const active = new Map<string, Run>();
   const held = new Map<string, KeptRun>();
-  const moved = new Map<string, KeptRun>();
+  const moved = new Map<string, KeptRun & MovedRun>();
 
   const createTimer = (limitMs: number, handleExpiry: () => void) =>
     createIdleTimer({ clock, limitMs, pauseMs: limits.pauseMs, handleExpiry });
@@ -53,7 +64,20 @@
     const kept = moved.get(generation);
     moved.delete(generation);
     kept?.timer.stop();
-    return kept?.run;
+    return kept;
+  };
+  const keepMoved = (run: Run, host: string) => {
+    const { generation } = run;
+    const releaseLost = (lost: string) => {
+      const kept = dropMoved(lost)?.run;
+      kept?.release("lost", kept.tokens);
+    };
+    const timer = createTimer(limits.handoverMs, () => releaseLost(generation));
+    moved.set(generation, { run, timer, host });
+    const [oldest] = moved.keys();
+    if (moved.size > limits.maxStreams && oldest !== undefined) {
+      releaseLost(oldest);
+    }
   };
   const takeOver = (generation: string, team: string) => {
     const run = active.get(generation) ?? held.get(generation)?.run;
@@ -93,25 +117,24 @@
       }
     },
     takeOver,
-    moveRun: (generation, team) => {
-      const run = takeOver(generation, team);
-      if (run === undefined) {
-        return moved.get(generation)?.run.team === team;
+    reclaimRun: (generation, team) =>
+      moved.get(generation)?.run.team === team ? dropMoved(generation) : undefined,
+    moveRun: (generation, team, host) => {
+      const former = moved.get(generation);
+      if (former !== undefined && former.run.team === team) {
+        dropMoved(generation);
+        keepMoved(former.run, host);
+        return former.host;
       }
-      const timer = createTimer(
-        limits.handoverMs,
-        () => dropMoved(generation)?.release("lost", run.tokens),
-      );
-      moved.set(generation, { run, timer });
-      const [oldest] = moved.keys();
-      if (moved.size > limits.maxStreams && oldest !== undefined) {
-        dropMoved(oldest)?.release("lost", run.tokens);
+      const run = takeOver(generation, team);
+      if (run !== undefined) {
+        keepMoved(run, host);
       }
-      return true;
+      return undefined;
     },
     finishMoved: (generation, team, outcome, tokens) => {
       if (moved.get(generation)?.run.team === team) {
-        dropMoved(generation)?.release(outcome, tokens);
+        dropMoved(generation)?.run.release(outcome, tokens);
       }
     },
     countHeld: () => held.size,
--- a/packages/daemon/src/generations/handover_message_schema.ts
+++ b/packages/daemon/src/generations/handover_message_schema.ts
@@ -1,12 +1,20 @@
 import { z } from "zod";
 
-/** Messages between the host that began a stream and the host that resumes it. */
+/**
+ * Messages about streams that move between hosts: `resumed` and `ended` go to the host that began
+ * the stream, `superseded` to the host that relayed it last.
+ */
 export const handoverMessageSchema = z.discriminatedUnion("type", [
   z.object({
     type: z.literal("resumed"),
     generation: z.string().max(64),
     team: z.string().max(256),
   }),
+  z.object({
+    type: z.literal("superseded"),
+    generation: z.string().max(64),
+    team: z.string().max(256),
+  }),
   z.object({
     type: z.literal("ended"),
     generation: z.string().max(64),
--- a/packages/daemon/src/generations/resume_token_schema.ts
+++ b/packages/daemon/src/generations/resume_token_schema.ts
@@ -6,7 +6,7 @@
   generation: z.string(),
   team: z.string(),
   model: z.string(),
-  /** Entry host that relays the stream and holds its admission grant. */
+  /** Host that began the stream and holds its admission grant. */
   host: z.string(),
   api: z.enum(["chat", "completion"]),
   /** Tokens of the prompt, for the usage counts. */
--- a/packages/daemon/src/generations/serve_resume.ts
+++ b/packages/daemon/src/generations/serve_resume.ts
@@ -1,11 +1,11 @@
 import { createResultError } from "@crocussail/protocol";
-import type { AdmissionOutcome } from "../admission/mod.ts";
 import type { AnswerWriter } from "./answer_writer.ts";
 import type { ResumePosition } from "./decode_last_event_id.ts";
 import { encodeResumeToken } from "./encode_resume_token.ts";
 import { endRun } from "./end_run.ts";
 import type { GenerationServices } from "./generation_services.ts";
 import { relayRun } from "./relay_run.ts";
+import type { ResumeToken } from "./resume_token_schema.ts";
 import type { Run } from "./run.ts";
 
 /** Options of {@link serveResume}. */
@@ -32,10 +32,7 @@
   context.journal.recordDecision(requestId, "generations", "resumed", fields);
   writer.startAnswer({
     generation: token.generation,
-    resumeToken: encodeResumeToken(
-      { ...token, host: context.config.host.name },
-      context.config.fleetKeys[0],
-    ),
+    resumeToken: encodeResumeToken(token, context.config.fleetKeys[0]),
   });
   const end = await relayRun(services, {
     requestId,
@@ -56,22 +53,10 @@
   writer.writeError(createResultError(code, detail, { ran: "yes", members }));
 }
 
-/** Takes the run from this host's own table, or from the host that the token names. */
+/** Takes the run from this host's own table, or from the host that began the stream. */
 function takeRun(services: GenerationServices, options: ServeResumeOptions): Run {
-  const { handover, runs, context } = services;
   const { token, index } = options.position;
   const { generation, team, upstream } = token;
-  const own = runs.takeOver(generation, team);
-  const isRemote = token.host !== context.config.host.name;
-  if (own === undefined && isRemote) {
-    handover.announceResume(token);
-  }
-  const release = (outcome: AdmissionOutcome, tokens: number) => {
-    own?.release(outcome, tokens);
-    if (own === undefined && isRemote) {
-      handover.announceEnd(token, outcome, tokens);
-    }
-  };
   return {
     generation,
     team,
@@ -80,6 +65,27 @@
     tokens: index + 1,
     isSuperseded: false,
     interrupt: () => {},
-    release,
+    release: takeRelease(services, token),
   };
 }
+
+/** Ends a former relay of the stream and returns what ends the generation's accounting. */
+function takeRelease(services: GenerationServices, token: ResumeToken): Run["release"] {
+  const { handover, runs, context } = services;
+  const own = runs.takeOver(token.generation, token.team);
+  if (own !== undefined) {
+    return own.release;
+  }
+  if (token.host !== context.config.host.name) {
+    handover.announceResume(token);
+    return (outcome, tokens) => {
+      handover.announceEnd(token, outcome, tokens);
+    };
+  }
+  const moved = runs.reclaimRun(token.generation, token.team);
+  if (moved === undefined) {
+    return () => {};
+  }
+  handover.announceReturn(moved.host, token);
+  return moved.run.release;
+}
