--- a/packages/daemon/src/adapters/settings_source.ts
+++ b/packages/daemon/src/adapters/settings_source.ts
@@ -19,14 +19,22 @@
 /** Handlers of a running watch. */
 export interface WatchHandlers {
   handleBatch(batch: PublishedBatch): void;
-  /** Called once when the watch ends for any reason other than `close`. */
+  /**
+   * Called once when the watch ends for any reason other than the returned function; the code is
+   * `settingsRevisionCompacted` when the service has dropped the changes after `revision`.
+   */
   handleEnd(error: ResultError): void;
 }
 
 /** The platform's settings service, which can only be read and watched. */
 export interface SettingsSource {
-  /** Reads every value. */
+  /** Reads every value in one call, as of the revision in the batch. */
   readAll(): Promise<Either<ResultError, PublishedBatch>>;
-  /** Watches for changes after `revision`; returns a function that ends the watch. */
+  /** Reads the service's revision in one cheap call. */
+  readRevision(): Promise<Either<ResultError, number>>;
+  /**
+   * Watches for changes after `revision`, older ones that were missed included; returns a function
+   * that ends the watch. Each batch is in the order of the changes.
+   */
   watchAfter(revision: number, handlers: WatchHandlers): () => void;
 }
--- a/packages/daemon/src/config/daemon_config_schema.ts
+++ b/packages/daemon/src/config/daemon_config_schema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { seedListSchema } from "./seed_list_schema.ts";
 
 const portSchema = z.coerce.number().int().min(0).max(65535);
 const ipSchema = z.union([z.ipv4(), z.ipv6()], { error: "expected an IP number" });
@@ -23,6 +24,10 @@
     /** Base URLs, comma separated, tried in order. */
     urls: z.string().min(1).transform((text) => text.split(",").map((url) => url.trim())),
   }),
+  peers: z.strictObject({
+    /** Peers to ask for settings before any list of hosts is known; any few live hosts will do. */
+    seeds: seedListSchema.prefault(""),
+  }).prefault({}),
   fleet: z.strictObject({
     /** Shared secret of the fleet; at least 32 characters. */
     key: z.string().min(32),
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -58,17 +58,17 @@
 /** Creates a daemon from its slices. */
 export function createDaemon(options: DaemonOptions): Daemon {
   const { config, clock, random, logger, metrics } = options;
-  const settings = createSettings({ context: { clock, logger }, source: options.settingsSource });
+  const settings = createSettings({
+    context: { clock, logger, random, config },
+    source: options.settingsSource,
+  });
   const peers = createPeerLink({
     host: config.host.name,
     fleetKeys: config.fleetKeys,
     clock,
     random,
     logger,
-    findAddress: (host) => {
-      const found = settings.view.getHosts().get(host);
-      return found === undefined ? undefined : { address: found.address, port: found.peerPort };
-    },
+    findAddress: settings.findPeerAddress,
   });
   const incarnation = random.nextHex(INCARNATION_BYTES);
   const journal = createJournal({ clock, ...JOURNAL_LIMITS });
@@ -83,6 +83,7 @@
     incarnation,
   };
   const membership = createMembership({ context, settings: settings.view });
+  settings.joinFleet({ peers, membership });
   const admission = createAdmission({ settings: settings.view });
   const generations = createGenerations({
     context,
@@ -147,7 +148,7 @@
     config,
     incarnation,
     journal,
-    isReady: () => settings.view.getRevision() > 0 && !shutdown.isLeaving(),
+    isReady: () => settings.isReady() && !shutdown.isLeaving(),
     sections: {
       settings: settings.dumpState,
       membership: membership.dumpState,
--- a/packages/daemon/src/settings/create_settings.ts
+++ b/packages/daemon/src/settings/create_settings.ts
@@ -1,88 +1,248 @@
 import type { Timer } from "@crocussail/protocol";
-import type { PublishedBatch, SettingsSource } from "../adapters/settings_source.ts";
+import type { SettingsSource } from "../adapters/settings_source.ts";
 import type { DaemonContext } from "../common/daemon_context.ts";
+import type { Membership } from "../membership/mod.ts";
+import type { PeerAddress, PeerLink } from "../peers/mod.ts";
+import { SETTINGS_LIMITS } from "./constants.ts";
+import { createSettingsAgent } from "./create_settings_agent.ts";
 import { createSettingsView } from "./create_settings_view.ts";
-import { applySettingsUpdate } from "./settings_state.ts";
-import type { SettingsState } from "./settings_state.ts";
+import { dumpSettingsPaths } from "./dump_settings_paths.ts";
+import { selectSettingsPage } from "./select_settings_page.ts";
+import { settingsDigestSchema } from "./settings_digest_schema.ts";
+import type { SettingsEffect } from "./settings_effect.ts";
+import type { SettingsEvent } from "./settings_event.ts";
+import { settingsMessageSchema } from "./settings_message_schema.ts";
+import type { SettingsMessage } from "./settings_message_schema.ts";
+import { settingsPageSchema } from "./settings_page_schema.ts";
+import type { SettingsPage } from "./settings_page_schema.ts";
+import { createSettingsState } from "./settings_state.ts";
 import type { SettingsView } from "./settings_view.ts";
 
 /** Options of {@link createSettings}. */
 export interface SettingsOptions {
-  readonly context: Pick<DaemonContext, "clock" | "logger">;
+  readonly context: Pick<DaemonContext, "clock" | "logger" | "random" | "config">;
   readonly source: SettingsSource;
 }
 
+/** What the slice needs of slices that are created after it. */
+export interface SettingsFleet {
+  readonly peers: PeerLink;
+  readonly membership: Pick<Membership, "listLiveHosts" | "registerRider">;
+}
+
 /** Settings slice: keeps the newest accepted value of each path. */
 export interface Settings {
   readonly view: SettingsView;
-  /** Reads every value once and starts to watch. */
+  /** Finds a peer's address among the published hosts, then among the seeds. */
+  findPeerAddress(host: string): PeerAddress | undefined;
+  /** Connects the slice to its peers; called once, before `start`. */
+  joinFleet(fleet: SettingsFleet): void;
+  /** Starts to read and watch; resolves when ready, or after a bound. */
   start(): Promise<void>;
   stop(): void;
+  /** False until the settings have been checked with peers, also after a pause of this process. */
+  isReady(): boolean;
   dumpState(): unknown;
 }
 
-const RETRY_MS = 1_000;
+const CHANNEL = "settings";
 
 /** Creates the settings slice. */
 export function createSettings(options: SettingsOptions): Settings {
-  const { clock, logger } = options.context;
-  const state: SettingsState = new Map();
+  const { clock, logger, random, config } = options.context;
+  const self = config.host.name;
+  const state = createSettingsState();
   const listeners = new Set<() => void>();
-  let revision = 0;
+  const agent = createSettingsAgent({
+    host: self,
+    dataCentre: config.host.dataCentre,
+    nowMs: clock.readMonotonicMs(),
+    nextFloat: random.nextFloat,
+    state,
+  });
+  let fleet: SettingsFleet | undefined;
   let stopWatch = () => {};
-  let retryTimer: Timer | undefined;
+  let timer: Timer | undefined;
+  let isStopped = false;
+  let settleStart = () => {};
+
+  const view = createSettingsView(state, (listener) => {
+    listeners.add(listener);
+    return () => listeners.delete(listener);
+  });
+  const listPeers = () => {
+    const live = [...view.getHosts()].filter(([, host]) => host.state === "live");
+    const known = [...live.map(([name]) => name), ...config.peers.seeds.keys()];
+    return [...new Set(known)].filter((name) => name !== self);
+  };
+  const listNeighbours = () => {
+    const hosts = view.getHosts();
+    const live = fleet?.membership.listLiveHosts() ?? [];
+    return live.filter((name) => hosts.get(name)?.dataCentre === config.host.dataCentre);
+  };
 
-  const applyBatch = (batch: PublishedBatch) => {
-    revision = Math.max(revision, batch.revision);
-    for (const update of batch.values) {
-      const merge = applySettingsUpdate(state, update);
-      if (merge === "rejected") {
-        const reason = state.get(update.path)?.rejection ?? "";
-        logger.writeEvent("settingsRejected", { path: update.path, reason });
-      }
+  const dispatch = (event: SettingsEvent) => {
+    if (isStopped) {
+      return;
+    }
+    agent.applyEvent(event, clock.readMonotonicMs()).forEach(applyEffect);
+    if (isReady()) {
+      settleStart();
+    }
+  };
+  const dispatchTick = () =>
+    dispatch({ type: "tick", neighbours: listNeighbours(), peers: listPeers() });
+  /** A started daemon decides after every answer; later the tick is soon enough. */
+  const dispatchAnswer = (event: SettingsEvent) => {
+    dispatch(event);
+    if (!isReady()) {
+      dispatchTick();
     }
-    listeners.forEach((listener) => listener());
   };
 
-  const readAndWatch = async () => {
-    const result = await options.source.readAll();
-    result.caseOf({
-      Left: (error) => {
-        logger.writeEvent("settingsServiceLost", { detail: error.detail });
-        retryTimer = clock.startTimer(RETRY_MS, readAndWatch);
-      },
-      Right: (batch) => {
-        applyBatch(batch);
-        stopWatch = options.source.watchAfter(revision, {
-          handleBatch: applyBatch,
-          handleEnd: () => {
-            retryTimer = clock.startTimer(RETRY_MS, readAndWatch);
-          },
-        });
+  const applyEffect = (effect: SettingsEffect) => {
+    switch (effect.type) {
+      case "read":
+        return void readAll();
+      case "probe":
+        return void readRevision();
+      case "openWatch":
+        return openWatch(effect.after);
+      case "closeWatch":
+        return stopWatch();
+      case "ask":
+        return void ask(effect.host);
+      case "pull":
+        return void pull(effect.host, effect.after);
+      case "offer":
+        return sendOffer(effect.host);
+      case "notify":
+        return listeners.forEach((listener) => listener());
+      case "log":
+        return logger.writeEvent(effect.event, effect.fields);
+    }
+  };
+  const readAll = async () =>
+    dispatchAnswer(
+      (await options.source.readAll()).either<SettingsEvent>(
+        (error) => ({ type: "readFailed", detail: error.detail }),
+        (batch) => ({ type: "readAnswered", batch }),
+      ),
+    );
+  const readRevision = async () =>
+    dispatch(
+      (await options.source.readRevision()).either<SettingsEvent>(
+        (error) => ({ type: "probeFailed", detail: error.detail }),
+        (revision) => ({ type: "probeAnswered", revision }),
+      ),
+    );
+  const openWatch = (after: number) => {
+    stopWatch();
+    stopWatch = options.source.watchAfter(after, {
+      handleBatch: (batch) => dispatch({ type: "watchBatch", batch }),
+      handleEnd: (error) => {
+        const isCompacted = error.code === "settingsRevisionCompacted";
+        dispatch({ type: "watchEnded", detail: error.detail, isCompacted });
       },
     });
   };
 
-  const view = createSettingsView(state, (listener) => {
-    listeners.add(listener);
-    return () => listeners.delete(listener);
-  });
+  /** Sends a message to a peer and checks the page that answers it. */
+  const requestPage = async (host: string, message: SettingsMessage) => {
+    const answer = await fleet?.peers.requestReply(
+      host,
+      CHANNEL,
+      message,
+      SETTINGS_LIMITS.peerTimeoutMs,
+    );
+    const parsed = settingsPageSchema.safeParse(answer?.toMaybe().extract());
+    return parsed.success ? parsed.data : undefined;
+  };
+  const ask = async (host: string) => {
+    const page = await requestPage(host, { kind: "ask" });
+    dispatchAnswer(
+      page === undefined
+        ? { type: "askFailed", from: host }
+        : { type: "peerDigest", from: host, digest: page.digest },
+    );
+  };
+  const pull = async (host: string, after: string | undefined) => {
+    const page = await requestPage(host, {
+      kind: "pull",
+      known: state.getHighestRevision(),
+      buckets: state.digest.copyBuckets(),
+      ...(after === undefined ? {} : { after }),
+    });
+    dispatchAnswer(
+      page === undefined
+        ? { type: "pullFailed", from: host }
+        : { type: "pageReceived", from: host, page },
+    );
+  };
+  const sendOffer = (host: string) => {
+    const offer: SettingsMessage = { kind: "offer", digest: buildDigest() };
+    fleet?.peers.sendMessage(host, CHANNEL, offer);
+  };
+  const buildDigest = () => agent.buildDigest(clock.readMonotonicMs());
+  const answerPeer = (from: string, message: unknown): SettingsPage | undefined => {
+    const parsed = settingsMessageSchema.parse(message);
+    switch (parsed.kind) {
+      case "ask":
+        return { digest: buildDigest(), updates: [] };
+      case "offer":
+        dispatch({ type: "peerDigest", from, digest: parsed.digest });
+        return undefined;
+      case "pull":
+        return { digest: buildDigest(), ...selectSettingsPage(state, parsed) } as SettingsPage;
+    }
+  };
+
+  const runTicks = () => {
+    dispatchTick();
+    timer = clock.startTimer(SETTINGS_LIMITS.tickMs, runTicks);
+  };
+  const isReady = () => agent.isReady(clock.readMonotonicMs());
+
   return {
     view,
-    start: readAndWatch,
+    findPeerAddress: (host) => {
+      const found = view.getHosts().get(host);
+      return found === undefined
+        ? config.peers.seeds.get(host)
+        : { address: found.address, port: found.peerPort };
+    },
+    joinFleet: (joined) => {
+      fleet = joined;
+      joined.peers.registerHandler(CHANNEL, answerPeer);
+      joined.membership.registerRider({
+        name: CHANNEL,
+        collectPayload: buildDigest,
+        applyPayload: (from, payload) => {
+          const parsed = settingsDigestSchema.safeParse(payload);
+          if (parsed.success) {
+            dispatch({ type: "peerDigest", from, digest: parsed.data });
+          }
+        },
+      });
+    },
+    start: () => {
+      const started = new Promise<void>((resolve) => {
+        settleStart = resolve;
+        clock.startTimer(SETTINGS_LIMITS.startWaitMs, resolve);
+      });
+      runTicks();
+      return started;
+    },
     stop: () => {
-      retryTimer?.cancel();
+      isStopped = true;
+      timer?.cancel();
       stopWatch();
     },
+    isReady,
     dumpState: () => ({
-      revision,
-      paths: Object.fromEntries(
-        [...state].map(([path, entry]) => [path, {
-          revision: entry.revision,
-          acceptedRevision: entry.acceptedRevision,
-          rejection: entry.rejection,
-        }]),
-      ),
+      revision: view.getRevision(),
+      ...agent.dumpState(clock.readMonotonicMs()),
+      ...dumpSettingsPaths(state),
     }),
   };
 }
--- /dev/null
+++ b/packages/daemon/src/settings/create_settings_agent.ts
@@ -0,0 +1,260 @@
+import type { PublishedBatch } from "../adapters/settings_source.ts";
+import { SETTINGS_LIMITS } from "./constants.ts";
+import { createPeerSyncState } from "./peer_sync_state.ts";
+import { createServiceReaderState } from "./service_reader_state.ts";
+import type { ServiceReaderOptions } from "./service_reader_state.ts";
+import type { SettingsDigest } from "./settings_digest_schema.ts";
+import type { SettingsEffect } from "./settings_effect.ts";
+import type { SettingsEvent } from "./settings_event.ts";
+import type { SettingsPage } from "./settings_page_schema.ts";
+import type { SettingsState } from "./settings_state.ts";
+import type { SettingsUpdate } from "./settings_update.ts";
+
+/** Options of {@link createSettingsAgent}. */
+export interface SettingsAgentOptions extends ServiceReaderOptions {
+  readonly state: SettingsState;
+}
+
+/** All decisions of the settings slice: events and time in, effects out; no I/O. */
+export interface SettingsAgent {
+  applyEvent(event: SettingsEvent, nowMs: number): SettingsEffect[];
+  buildDigest(nowMs: number): SettingsDigest;
+  /** Whether a started or paused daemon has caught up with its peers, or waited the bound. */
+  isReady(nowMs: number): boolean;
+  dumpState(nowMs: number): Readonly<Record<string, unknown>>;
+}
+
+/** Paths named in one log event. */
+const MAX_LOGGED_PATHS = 5;
+
+/** Creates the decisions of one daemon around a settings map. */
+export function createSettingsAgent(options: SettingsAgentOptions): SettingsAgent {
+  const { state } = options;
+  const reader = createServiceReaderState(options);
+  const sync = createPeerSyncState();
+  let confirmedAtMs = Number.NEGATIVE_INFINITY;
+  let startedAtMs = options.nowMs;
+  let tickedAtMs = options.nowMs;
+  let hasAsked = false;
+  let serviceRevision = 0;
+  let behindSinceMs: number | undefined;
+  let isBehindReported = false;
+  let isServiceLost = false;
+
+  const confirm = (atMs: number) => {
+    confirmedAtMs = Math.max(confirmedAtMs, atMs);
+  };
+  const buildDigest = (nowMs: number): SettingsDigest => {
+    const age = Number.isFinite(confirmedAtMs) ? Math.round(nowMs - confirmedAtMs) : -1;
+    return [state.digest.getHash(), state.getHighestRevision(), Math.max(-1, age)];
+  };
+
+  const applyUpdates = (updates: readonly SettingsUpdate[], source: string): SettingsEffect[] => {
+    const accepted: SettingsUpdate[] = [];
+    const effects: SettingsEffect[] = [];
+    for (const update of updates) {
+      const merge = state.applyUpdate(update);
+      if (merge === "accepted") {
+        accepted.push(update);
+      }
+      if (merge === "rejected" || merge === "refused") {
+        effects.push(buildFaultLog(update, merge));
+      }
+    }
+    if (accepted.length === 0) {
+      return effects;
+    }
+    const paths = accepted.slice(0, MAX_LOGGED_PATHS).map((update) => update.path).join(" ");
+    const fields = { count: accepted.length, revision: state.getRevision(), paths, source };
+    return [...effects, { type: "log", event: "settingsAccepted", fields }, { type: "notify" }];
+  };
+  const buildFaultLog = (update: SettingsUpdate, merge: "rejected" | "refused"): SettingsEffect => {
+    const { path, revision } = update;
+    if (merge === "refused") {
+      const fields = { path: path.slice(0, SETTINGS_LIMITS.maxPathLength), revision };
+      return { type: "log", event: "settingsBoundReached", fields };
+    }
+    const [finding] = state.getEntry(path)?.findings ?? [];
+    const reason = finding === undefined
+      ? ""
+      : `line ${finding.line}: ${finding.name}: ${finding.message}; ${finding.advice}`;
+    return { type: "log", event: "settingsRejected", fields: { path, revision, reason } };
+  };
+
+  const observeServiceRevision = (revision: number, nowMs: number): SettingsEffect[] => {
+    serviceRevision = revision;
+    const wasLost = isServiceLost;
+    isServiceLost = false;
+    const effects: SettingsEffect[] = wasLost
+      ? [{ type: "log", event: "settingsServiceFound", fields: { revision } }]
+      : [];
+    const behind = state.getHighestRevision() - revision;
+    if (behind <= 0) {
+      behindSinceMs = undefined;
+      isBehindReported = false;
+      return effects;
+    }
+    behindSinceMs ??= nowMs;
+    if (isBehindReported || nowMs - behindSinceMs < SETTINGS_LIMITS.behindMs) {
+      return effects;
+    }
+    isBehindReported = true;
+    const fields = { serviceRevision: revision, heldRevision: state.getHighestRevision() };
+    return [...effects, { type: "log", event: "settingsServiceBehind", fields }];
+  };
+  const reportLost = (detail: string): SettingsEffect[] => {
+    if (isServiceLost) {
+      return [];
+    }
+    isServiceLost = true;
+    return [{ type: "log", event: "settingsServiceLost", fields: { detail } }];
+  };
+
+  const applyRead = (batch: PublishedBatch, nowMs: number): SettingsEffect[] => {
+    reader.observeRead(batch, nowMs);
+    const isCurrent = batch.revision >= state.getHighestRevision();
+    const deleted = isCurrent ? listDeleted(state, batch) : [];
+    const effects = applyUpdates([...batch.values, ...deleted], "service");
+    if (isCurrent) {
+      confirm(nowMs);
+    }
+    return [...effects, ...observeServiceRevision(batch.revision, nowMs)];
+  };
+  const applyWatch = (batch: PublishedBatch, nowMs: number): SettingsEffect[] => {
+    reader.observeWatch(batch);
+    const effects = applyUpdates(batch.values, "service");
+    const ignored = batch.values.filter((update) =>
+      (state.getEntry(update.path)?.newest.revision ?? 0) > update.revision
+    );
+    const reports = ignored.slice(0, MAX_LOGGED_PATHS).map(({ path, revision }): SettingsEffect => ({
+      type: "log",
+      event: "settingsUpdateIgnored",
+      fields: { path, revision, held: state.getEntry(path)?.newest.revision ?? 0 },
+    }));
+    return [...effects, ...reports, ...observeServiceRevision(batch.revision, nowMs)];
+  };
+
+  const applyPage = (from: string, page: SettingsPage, nowMs: number): SettingsEffect[] => {
+    const before = state.digest.getHash();
+    const effects = applyUpdates(page.updates.map(copyUpdate), from);
+    const after = state.digest.getHash();
+    sync.observeDigest(from, page.digest);
+    sync.observePull(from, { isProductive: before !== after, next: page.next }, after);
+    confirmByPeer(page.digest, nowMs);
+    return [...effects, ...sync.decideExchange(buildDigest(nowMs))];
+  };
+  const confirmByPeer = ([hash, , ageMs]: SettingsDigest, nowMs: number) => {
+    if (ageMs >= 0 && hash === state.digest.getHash()) {
+      confirm(nowMs - ageMs);
+    }
+  };
+
+  const applyTick = (event: SettingsEvent & { type: "tick" }, nowMs: number): SettingsEffect[] => {
+    const effects: SettingsEffect[] = [];
+    if (nowMs - tickedAtMs >= SETTINGS_LIMITS.pauseMs) {
+      startedAtMs = nowMs;
+      hasAsked = false;
+      sync.resetQuestions();
+      const fields = { pausedMs: Math.round(nowMs - tickedAtMs) };
+      effects.push({ type: "log", event: "settingsDistrusted", fields });
+    }
+    tickedAtMs = nowMs;
+    const hasPeers = event.peers.length > 0;
+    if (!isReady(nowMs)) {
+      effects.push(...sync.decideQuestions(event.peers, options.nextFloat));
+      hasAsked ||= state.getRevision() > 0;
+    }
+    return [
+      ...effects,
+      ...sync.decideExchange(buildDigest(nowMs)),
+      ...reader.decideCalls({ nowMs, neighbours: event.neighbours, hasPeers, confirmedAtMs }),
+    ];
+  };
+  const isReady = (nowMs: number): boolean => {
+    if (state.getRevision() === 0) {
+      return false;
+    }
+    return nowMs - startedAtMs >= SETTINGS_LIMITS.startupBoundMs ||
+      (hasAsked && sync.isCaughtUp(state.digest.getHash()));
+  };
+
+  const applyEvent = (event: SettingsEvent, nowMs: number): SettingsEffect[] => {
+    switch (event.type) {
+      case "tick":
+        return applyTick(event, nowMs);
+      case "peerDigest":
+        sync.observeDigest(event.from, event.digest);
+        confirmByPeer(event.digest, nowMs);
+        return sync.decideExchange(buildDigest(nowMs));
+      case "askFailed":
+        sync.observeAskFailure(event.from);
+        return [];
+      case "pageReceived":
+        return applyPage(event.from, event.page, nowMs);
+      case "pullFailed":
+        sync.observePullFailure(event.from, state.digest.getHash());
+        return [];
+      case "readAnswered":
+        return applyRead(event.batch, nowMs);
+      case "readFailed":
+        reader.observeFailure("read", nowMs);
+        return reportLost(event.detail);
+      case "probeAnswered":
+        if (reader.observeProbe(event.revision) && event.revision >= state.getHighestRevision()) {
+          confirm(nowMs);
+        }
+        return observeServiceRevision(event.revision, nowMs);
+      case "probeFailed":
+        reader.observeFailure("probe", nowMs);
+        return reportLost(event.detail);
+      case "watchBatch":
+        return applyWatch(event.batch, nowMs);
+      case "watchEnded":
+        reader.observeWatchEnd(event.isCompacted, nowMs);
+        return reportLost(event.detail);
+    }
+  };
+
+  return {
+    applyEvent,
+    buildDigest,
+    isReady,
+    dumpState: (nowMs) => ({
+      isReady: isReady(nowMs),
+      hash: state.digest.getHash(),
+      heldRevision: state.getHighestRevision(),
+      confirmedMsAgo: buildDigest(nowMs)[2],
+      service: {
+        revision: serviceRevision,
+        isLost: isServiceLost,
+        behindBy: behindSinceMs === undefined ? 0 : state.getHighestRevision() - serviceRevision,
+        behindForMs: behindSinceMs === undefined ? 0 : Math.round(nowMs - behindSinceMs),
+        ...reader.dumpState(),
+      },
+      peers: sync.dumpState(),
+    }),
+  };
+}
+
+/**
+ * Tombstones of the paths that a complete read no longer holds. Their own revisions are unknown;
+ * that of the read is above every change it covers and below every later one.
+ */
+function listDeleted(state: SettingsState, batch: PublishedBatch): SettingsUpdate[] {
+  const present = new Set(batch.values.map((update) => update.path));
+  return [...state.listEntries()]
+    .filter(({ newest }) => newest.text !== undefined || newest.oversizeBytes !== undefined)
+    .filter(({ newest }) => !present.has(newest.path) && newest.revision <= batch.revision)
+    .map(({ newest }) => ({ path: newest.path, revision: batch.revision }));
+}
+
+/** Drops the absent fields that the wire format leaves as `undefined`. */
+function copyUpdate(update: SettingsPage["updates"][number]): SettingsUpdate {
+  const { path, revision, text, oversizeBytes } = update;
+  return {
+    path,
+    revision,
+    ...(text === undefined ? {} : { text }),
+    ...(oversizeBytes === undefined ? {} : { oversizeBytes }),
+  };
+}
--- a/packages/daemon/src/settings/create_settings_view.ts
+++ b/packages/daemon/src/settings/create_settings_view.ts
@@ -8,57 +8,72 @@
   TeamKeysSettings,
   UpstreamSettings,
 } from "@crocussail/protocol";
-import { Buffer } from "node:buffer";
-import { timingSafeEqual } from "node:crypto";
+import { createTeamKeyIndex } from "./create_team_key_index.ts";
 import type { SettingsState } from "./settings_state.ts";
-import type { SettingsView } from "./settings_view.ts";
+import type { SettingsView, TeamSettings } from "./settings_view.ts";
 
-/** Creates a read-only view of a settings map. */
+const DEFAULT_LIMITS = Object.freeze(fleetLimitsSchema.parse({}));
+
+/** Creates a read-only view of a settings map; derived maps are rebuilt only after a change. */
 export function createSettingsView(
   state: SettingsState,
   subscribe: SettingsView["subscribe"],
 ): SettingsView {
-  const getValue = <Value>(path: string) => state.get(path)?.value as Value | undefined;
-  const listBelow = <Value>(prefix: string) =>
-    new Map(
-      [...state]
-        .filter(([path, entry]) => path.startsWith(prefix) && entry.value !== undefined)
-        .map(([path, entry]) => [path.slice(prefix.length), entry.value as Value]),
-    );
-  const listTeams = () =>
-    [...listBelow<TeamAccessSettings>("teams/").keys()]
-      .filter((path) => path.endsWith("/access"))
-      .map((path) => path.slice(0, -"/access".length));
+  const getValue = <Value>(path: string) => state.getEntry(path)?.accepted?.value as
+    | Value
+    | undefined;
+  const listBelow = <Value>(section: string): ReadonlyMap<string, Value> => {
+    const prefix = `${section}/`;
+    const found: [string, Value][] = [];
+    for (const { newest, accepted } of state.listEntries()) {
+      if (newest.path.startsWith(prefix) && accepted?.value !== undefined) {
+        found.push([newest.path.slice(prefix.length), accepted.value as Value]);
+      }
+    }
+    return new Map(found.sort(([left], [right]) => left < right ? -1 : 1));
+  };
+  /** Returns a reader that rebuilds its value when the section has changed. */
+  const createCache = <Value>(section: string, build: () => Value): () => Value => {
+    let cached: { version: number; value: Value } | undefined;
+    return () => {
+      const version = state.getSectionVersion(section);
+      if (cached?.version !== version) {
+        cached = { version, value: build() };
+      }
+      return cached.value;
+    };
+  };
+
+  const getTeamIndex = createCache("teams", () => {
+    const values = listBelow<unknown>("teams");
+    const teams = new Map<string, TeamSettings>();
+    const keys = new Map<string, TeamKeysSettings>();
+    for (const [path, value] of values) {
+      const [name, part] = path.split("/") as [string, string];
+      if (part === "access") {
+        teams.set(name, {
+          name,
+          access: value as TeamAccessSettings,
+          kinds: (values.get(`${name}/kinds`) ?? {}) as TeamSettings["kinds"],
+          services: (values.get(`${name}/services`) ?? {}) as TeamSettings["services"],
+        });
+        keys.set(name, (values.get(`${name}/keys`) ?? {}) as TeamKeysSettings);
+      }
+    }
+    return { teams, names: [...teams.keys()], keys: createTeamKeyIndex(keys) };
+  });
+
   return {
-    getRevision: () => Math.max(0, ...[...state.values()].map((entry) => entry.acceptedRevision)),
-    getPathRevision: (path) => state.get(path)?.acceptedRevision ?? 0,
-    getHosts: () => listBelow<HostSettings>("hosts/"),
-    getUpstreams: () => listBelow<UpstreamSettings>("upstreams/"),
-    getModels: () => listBelow<ModelSettings>("models/"),
-    getFleetLimits: () =>
-      getValue<FleetLimitsSettings>("fleet/limits") ?? fleetLimitsSchema.parse({}),
+    getRevision: state.getRevision,
+    getPathRevision: (path) => state.getEntry(path)?.accepted?.update.revision ?? 0,
+    getHosts: createCache("hosts", () => listBelow<HostSettings>("hosts")),
+    getUpstreams: createCache("upstreams", () => listBelow<UpstreamSettings>("upstreams")),
+    getModels: createCache("models", () => listBelow<ModelSettings>("models")),
+    getFleetLimits: () => getValue<FleetLimitsSettings>("fleet/limits") ?? DEFAULT_LIMITS,
     getFleetServices: () => getValue<FleetServicesSettings>("fleet/services") ?? {},
-    getTeam: (name) => {
-      const access = getValue<TeamAccessSettings>(`teams/${name}/access`);
-      return access === undefined ? undefined : {
-        name,
-        access,
-        kinds: getValue(`teams/${name}/kinds`) ?? {},
-        services: getValue(`teams/${name}/services`) ?? {},
-      };
-    },
-    listTeams,
-    findTeamByKeyHash: (sha256) =>
-      listTeams().find((team) => {
-        const keys = getValue<TeamKeysSettings>(`teams/${team}/keys`) ?? {};
-        return Object.values(keys).some((key) => isEqualHash(key.sha256, sha256));
-      }),
+    getTeam: (name) => getTeamIndex().teams.get(name),
+    listTeams: () => getTeamIndex().names,
+    findTeamByKeyHash: (sha256) => getTeamIndex().keys.findTeam(sha256),
     subscribe,
   };
 }
-
-function isEqualHash(left: string, right: string): boolean {
-  const wanted = Buffer.from(left);
-  const given = Buffer.from(right);
-  return wanted.length === given.length && timingSafeEqual(wanted, given);
-}
--- /dev/null
+++ b/packages/daemon/src/settings/select_settings_page.ts
@@ -0,0 +1,68 @@
+import { Buffer } from "node:buffer";
+import { SETTINGS_LIMITS } from "./constants.ts";
+import type { SettingsEntry } from "./settings_entry.ts";
+import type { SettingsState } from "./settings_state.ts";
+import type { SettingsUpdate } from "./settings_update.ts";
+
+/** What a peer says that it holds. */
+export interface PullRequest {
+  /** Highest revision it holds. */
+  readonly known: number;
+  /** Hashes of its buckets. */
+  readonly buckets: Uint8Array;
+  /** Last path of the page before, when the buckets that differ fill several pages. */
+  readonly after?: string | undefined;
+}
+
+/** One page of updates. */
+export interface SelectedPage {
+  readonly updates: readonly SettingsUpdate[];
+  /** Last path of a page that was cut while listing buckets that differ. */
+  readonly next?: string;
+}
+
+/**
+ * Selects one bounded page of updates for a peer: first those above its highest revision in their
+ * order, then all paths of the buckets that differ. A page holds at least one path.
+ */
+export function selectSettingsPage(state: SettingsState, request: PullRequest): SelectedPage {
+  const recent = [...state.listEntries()]
+    .filter((entry) => entry.newest.revision > request.known)
+    .sort((left, right) => left.newest.revision - right.newest.revision);
+  const isRecent = recent.length > 0;
+  const selected = isRecent ? recent : listDifferent(state, request);
+  const updates: SettingsUpdate[] = [];
+  let bytes = 0;
+  let last: string | undefined;
+  for (const entry of selected) {
+    const added = listUpdates(entry);
+    bytes += added.reduce((sum, update) => sum + countBytes(update), 0);
+    const isFull = bytes > SETTINGS_LIMITS.maxPageBytes ||
+      updates.length + added.length > SETTINGS_LIMITS.maxPageUpdates;
+    if (isFull && last !== undefined) {
+      return isRecent ? { updates } : { updates, next: last };
+    }
+    updates.push(...added);
+    last = entry.newest.path;
+  }
+  return { updates };
+}
+
+function listDifferent(state: SettingsState, request: PullRequest): SettingsEntry[] {
+  const { after } = request;
+  return [...state.listEntries()]
+    .filter(({ newest }) => state.digest.isDifferent(newest.path, request.buckets))
+    .filter(({ newest }) => after === undefined || newest.path > after)
+    .sort((left, right) => left.newest.path < right.newest.path ? -1 : 1);
+}
+
+function listUpdates(entry: SettingsEntry): SettingsUpdate[] {
+  const { newest, accepted } = entry;
+  return accepted === undefined || accepted.update === newest
+    ? [newest]
+    : [accepted.update, newest];
+}
+
+function countBytes(update: SettingsUpdate): number {
+  return update.path.length + Buffer.byteLength(update.text ?? "");
+}
--- a/packages/daemon/src/settings/settings_state.ts
+++ b/packages/daemon/src/settings/settings_state.ts
@@ -1,75 +1,170 @@
-import { SETTINGS_SCHEMAS } from "@crocussail/protocol";
-import type { SettingsSchemaEntry } from "@crocussail/protocol";
-import { describeIniIssue } from "../common/describe_ini_issue.ts";
-import { parseIni } from "../common/parse_ini.ts";
+import { Buffer } from "node:buffer";
+import { compareUpdates } from "./compare_updates.ts";
+import { SETTINGS_LIMITS } from "./constants.ts";
+import { parseSettingsValue } from "./parse_settings_value.ts";
+import { createSettingsDigestTree } from "./settings_digest_tree.ts";
+import type { SettingsDigestTree } from "./settings_digest_tree.ts";
+import type { AcceptedValue, SettingsEntry } from "./settings_entry.ts";
+import type { SettingsFinding } from "./settings_finding.ts";
+import type { SettingsUpdate } from "./settings_update.ts";
 
-/** One path of the settings map. */
-export interface SettingsEntry {
-  /** Newest revision seen, accepted or not. */
-  readonly revision: number;
-  /** Checked value in force; absent for a tombstone or before the first accepted value. */
-  readonly value?: unknown;
-  /** Revision of the value in force. */
-  readonly acceptedRevision: number;
-  /** Why the newest value was rejected. */
-  readonly rejection?: string;
+/**
+ * Result of one merge. `accepted`: another value is in force. `rejected`: a newer value is wrong,
+ * the one in force stays. `stale`: nothing changed. `refused`: a bound is reached.
+ */
+export type SettingsMerge = "accepted" | "rejected" | "stale" | "refused";
+
+/**
+ * Settings map. Each path holds two registers, the newest update and the newest accepted one, and
+ * both only grow; so any order, loss and repetition of the same updates ends in the same map.
+ */
+export interface SettingsState {
+  applyUpdate(update: SettingsUpdate): SettingsMerge;
+  getEntry(path: string): SettingsEntry | undefined;
+  listEntries(): Iterable<SettingsEntry>;
+  /** Highest revision of any update held, accepted or not. */
+  getHighestRevision(): number;
+  /** Highest revision in force. */
+  getRevision(): number;
+  /** Counts the changes in force below a first path segment, for caches. */
+  getSectionVersion(section: string): number;
+  readonly digest: Pick<SettingsDigestTree, "getHash" | "copyBuckets" | "isDifferent">;
+  /** Paths held, tombstones included. */
+  countPaths(): number;
+  countTombstones(): number;
+  countBytes(): number;
 }
 
-/** Settings map by path. */
-export type SettingsState = Map<string, SettingsEntry>;
+const OVERSIZE_ADVICE = `publish at most ${SETTINGS_LIMITS.maxValueBytes} bytes`;
 
-/** A value as read from the service or a peer. */
-export interface SettingsUpdate {
-  readonly path: string;
-  readonly text?: string;
-  readonly revision: number;
-}
+/** Creates an empty settings map. */
+export function createSettingsState(): SettingsState {
+  const entries = new Map<string, SettingsEntry>();
+  const digest = createSettingsDigestTree();
+  const versions = new Map<string, number>();
+  let highestRevision = 0;
+  let revision = 0;
+  let bytes = 0;
+  let tombstones = 0;
 
-/** Result of one merge. */
-export type SettingsMerge = "accepted" | "rejected" | "stale";
+  const setEntry = (path: string, after: SettingsEntry | undefined) => {
+    const before = entries.get(path);
+    digest.replaceEntry(before, after);
+    bytes += countEntryBytes(after) - countEntryBytes(before);
+    tombstones += Number(isTombstone(after)) - Number(isTombstone(before));
+    if (after === undefined) {
+      entries.delete(path);
+    } else {
+      entries.set(path, after);
+    }
+  };
 
-/** Merges one published value; an older or equal revision changes nothing. */
-export function applySettingsUpdate(state: SettingsState, update: SettingsUpdate): SettingsMerge {
-  const current = state.get(update.path);
-  if (current !== undefined && current.revision >= update.revision) {
-    return "stale";
-  }
+  const pruneTombstones = () => {
+    while (tombstones > SETTINGS_LIMITS.maxTombstones) {
+      const oldest = [...entries.values()].filter(isTombstone).sort(compareEntries)[0];
+      if (oldest === undefined) {
+        return;
+      }
+      setEntry(oldest.newest.path, undefined);
+    }
+  };
+
+  const isWithinBounds = (update: SettingsUpdate) =>
+    update.path.length <= SETTINGS_LIMITS.maxPathLength &&
+    (entries.has(update.path) || entries.size - tombstones < SETTINGS_LIMITS.maxPaths) &&
+    bytes + countUpdateBytes(update) <= SETTINGS_LIMITS.maxTotalBytes;
+
+  const applyUpdate = (given: SettingsUpdate): SettingsMerge => {
+    const update = normalizeUpdate(given);
+    const current = entries.get(update.path);
+    const isNewest = current === undefined || compareUpdates(update, current.newest) > 0;
+    const mayBeInForce = current?.accepted === undefined ||
+      compareUpdates(update, current.accepted.update) > 0;
+    if (!isNewest && !mayBeInForce) {
+      return "stale";
+    }
+    if (!isWithinBounds(update)) {
+      return "refused";
+    }
+    const verdict = judgeUpdate(update);
+    const isAccepted = verdict.accepted !== undefined;
+    if (!isAccepted && !isNewest) {
+      return "stale";
+    }
+    const accepted = verdict.accepted ?? current?.accepted;
+    setEntry(update.path, {
+      newest: isNewest ? update : current.newest,
+      findings: isNewest ? verdict.findings : current.findings,
+      ...(accepted === undefined ? {} : { accepted }),
+    });
+    highestRevision = Math.max(highestRevision, update.revision);
+    if (isAccepted) {
+      revision = Math.max(revision, update.revision);
+      const section = update.path.split("/", 1)[0] ?? "";
+      versions.set(section, (versions.get(section) ?? 0) + 1);
+      pruneTombstones();
+    }
+    return isAccepted ? "accepted" : "rejected";
+  };
+
+  return {
+    applyUpdate,
+    getEntry: (path) => entries.get(path),
+    listEntries: () => entries.values(),
+    getHighestRevision: () => highestRevision,
+    getRevision: () => revision,
+    getSectionVersion: (section) => versions.get(section) ?? 0,
+    digest,
+    countPaths: () => entries.size,
+    countTombstones: () => tombstones,
+    countBytes: () => bytes,
+  };
+}
+
+function normalizeUpdate(update: SettingsUpdate): SettingsUpdate {
   const { path, revision, text } = update;
-  if (text === undefined) {
-    state.set(path, { revision, acceptedRevision: revision });
-    return "accepted";
-  }
-  const parsed = parseSettingsValue(path, text);
-  if ("value" in parsed) {
-    state.set(path, { revision, acceptedRevision: revision, value: parsed.value });
-    return "accepted";
+  if (text === undefined || Buffer.byteLength(text) <= SETTINGS_LIMITS.maxValueBytes) {
+    return update;
   }
-  const kept = current ?? { acceptedRevision: 0 };
-  state.set(path, { ...kept, revision, rejection: parsed.rejection });
-  return "rejected";
+  return { path, revision, oversizeBytes: Buffer.byteLength(text) };
 }
 
-function parseSettingsValue(
-  path: string,
-  text: string,
-): { value: unknown } | { rejection: string } {
-  const entry = SETTINGS_SCHEMAS.find((candidate) => isMatch(candidate, path));
-  if (entry === undefined) {
-    return { rejection: `${path}: no such settings path` };
+function judgeUpdate(
+  update: SettingsUpdate,
+): { accepted?: AcceptedValue; findings: readonly SettingsFinding[] } {
+  const { path, text, oversizeBytes } = update;
+  if (oversizeBytes !== undefined) {
+    const message = `the value has ${oversizeBytes} bytes`;
+    return { findings: [{ path, line: 1, name: "", message, advice: OVERSIZE_ADVICE }] };
   }
-  const parsed = entry.schema.safeParse(parseIni(text));
-  if (parsed.success) {
-    return { value: parsed.data };
+  if (text === undefined) {
+    return { accepted: { update }, findings: [] };
   }
-  const lines = parsed.error.issues.map((issue) =>
-    describeIniIssue({ file: path, text, schema: entry.schema }, issue)
+  return parseSettingsValue(path, text).either<ReturnType<typeof judgeUpdate>>(
+    (findings) => ({ findings: findings.slice(0, SETTINGS_LIMITS.maxFindings) }),
+    (value) => ({ accepted: { update, value }, findings: [] }),
   );
-  return { rejection: lines.join("\n") };
 }
 
-function isMatch(entry: SettingsSchemaEntry, path: string): boolean {
-  const wanted = entry.pattern.split("/");
-  const given = path.split("/");
-  return wanted.length === given.length &&
-    wanted.every((segment, index) => segment === "*" || segment === given[index]);
+function isTombstone(entry: SettingsEntry | undefined): boolean {
+  return entry !== undefined && entry.accepted?.update === entry.newest &&
+    entry.newest.text === undefined;
+}
+
+function compareEntries(left: SettingsEntry, right: SettingsEntry): number {
+  return left.newest.revision - right.newest.revision ||
+    (left.newest.path < right.newest.path ? -1 : 1);
+}
+
+function countUpdateBytes(update: SettingsUpdate): number {
+  return update.path.length + Buffer.byteLength(update.text ?? "");
+}
+
+function countEntryBytes(entry: SettingsEntry | undefined): number {
+  if (entry === undefined) {
+    return 0;
+  }
+  const { newest, accepted } = entry;
+  const older = accepted === undefined || accepted.update === newest ? undefined : accepted.update;
+  return countUpdateBytes(newest) + (older === undefined ? 0 : countUpdateBytes(older));
 }
--- a/packages/protocol/src/events/settings_events.ts
+++ b/packages/protocol/src/events/settings_events.ts
@@ -17,7 +17,37 @@
   settingsAccepted: {
     number: 5002,
     level: "info",
-    title: "Published value in force",
+    title: "Published values in force",
     action: "none",
   },
+  settingsServiceFound: {
+    number: 5003,
+    level: "info",
+    title: "Settings service answers again",
+    action: "none",
+  },
+  settingsServiceBehind: {
+    number: 5004,
+    level: "warn",
+    title: "Settings service answers with an older revision than the fleet holds",
+    action: "If it lasts, see docs/operators/settings.md on a restored service",
+  },
+  settingsUpdateIgnored: {
+    number: 5005,
+    level: "warn",
+    title: "Published value is older than the one held and was ignored",
+    action: "See docs/operators/settings.md on a restored service",
+  },
+  settingsBoundReached: {
+    number: 5006,
+    level: "error",
+    title: "Published value refused because a bound of the settings map is reached",
+    action: "Delete paths that are no longer used, or shorten values",
+  },
+  settingsDistrusted: {
+    number: 5007,
+    level: "warn",
+    title: "Process was paused; settings are checked with peers again",
+    action: "Look for the cause of the pause on this host",
+  },
 } as const satisfies Record<string, EventEntry>;
--- a/packages/protocol/src/result_codes/settings_result_codes.ts
+++ b/packages/protocol/src/result_codes/settings_result_codes.ts
@@ -17,4 +17,11 @@
     title: "Settings service did not answer",
     advice: "Check the service; daemons keep the settings they hold",
   },
+  settingsRevisionCompacted: {
+    number: 5002,
+    status: 503,
+    ran: "no",
+    title: "Settings service no longer holds the revision to watch from",
+    advice: "Nothing; the daemon reads the whole tree again",
+  },
 } as const satisfies Record<string, ResultCodeEntry>;
--- a/packages/stand_ins/src/settings_service/create_settings_service.ts
+++ b/packages/stand_ins/src/settings_service/create_settings_service.ts
@@ -3,6 +3,7 @@
 import { Buffer } from "node:buffer";
 import { startLoopbackServer } from "../start_loopback_server.ts";
 import type { StandInServer } from "../stand_in_server.ts";
+import { createSettingsHistory } from "./create_settings_history.ts";
 import type { StoredValue } from "./stored_value.ts";
 
 /** Fake of the etcd v3 JSON gateway: `range` and `watch`, with a publisher's side for tests. */
@@ -13,6 +14,16 @@
   deleteValue(path: string): number;
   /** Number of calls answered, a waiting watch counting as one. */
   countCalls(): number;
+  /** Refuses every call and cuts every watch until set back. */
+  setDown(isDown: boolean): void;
+  /** Answers as of an earlier revision and sends no changes, until set to undefined. */
+  setStale(revision: number | undefined): void;
+  /** Drops the changes up to a revision, so that no watch can begin before it. */
+  compactChanges(revision: number): void;
+  /** Goes back to an earlier revision, as a service restored from a backup does. */
+  restoreRevision(revision: number): void;
+  /** Ends every watch, after writing `text` to it. */
+  cutWatches(text?: string): void;
 }
 
 /** Options of {@link createSettingsService}. */
@@ -22,15 +33,20 @@
   readonly port?: number;
 }
 
-interface Watcher {
+interface KeyRange {
   readonly start: string;
   readonly end: string;
-  send(values: readonly StoredValue[]): void;
+}
+
+interface Watcher extends KeyRange {
+  send(result: object): void;
+  end(text: string): void;
 }
 
 interface RangeRequest {
   readonly key: string;
   readonly range_end?: string;
+  readonly count_only?: boolean;
 }
 
 interface WatchRequest {
@@ -41,52 +57,62 @@
 export async function createSettingsService(
   options: SettingsServiceOptions = {},
 ): Promise<SettingsService> {
-  const history: StoredValue[] = [];
-  const current = new Map<string, StoredValue>();
+  const history = createSettingsHistory();
   const watchers = new Set<Watcher>();
-  let revision = 0;
   let calls = 0;
+  let isDown = false;
+  let staleRevision: number | undefined;
 
-  const storeValue = (path: string, value: string, isDeleted: boolean): number => {
-    revision += 1;
-    const stored = { path, value, revision, isDeleted };
-    history.push(stored);
-    if (isDeleted) {
-      current.delete(path);
-    } else {
-      current.set(path, stored);
-    }
-    for (const watcher of watchers) {
-      if (isInRange(path, watcher)) {
-        watcher.send([stored]);
-      }
+  const getShownRevision = () => staleRevision ?? history.getRevision();
+  const buildHeader = () => ({ revision: String(getShownRevision()) });
+  const sendChanges = (watcher: Watcher, changes: readonly StoredValue[]) => {
+    const wanted = changes.filter((change) => isInRange(change.path, watcher));
+    if (wanted.length > 0 && staleRevision === undefined) {
+      watcher.send({ header: buildHeader(), events: wanted.map(encodeEvent) });
     }
-    return revision;
+  };
+  const storeValue = (path: string, value: string, isDeleted: boolean): number => {
+    const change = history.appendChange(path, value, isDeleted);
+    watchers.forEach((watcher) => sendChanges(watcher, [change]));
+    return change.revision;
+  };
+  const cutWatches = (text = "") => {
+    watchers.forEach((watcher) => watcher.end(text));
+    watchers.clear();
   };
   for (const [path, value] of Object.entries(options.values ?? {})) {
     storeValue(path, value, false);
   }
 
   const server = fastify();
-  server.post("/v3/kv/range", (request) => {
+  server.addHook("onRequest", (_request, reply, done) => {
     calls += 1;
-    const range = decodeRange(request.body as RangeRequest);
-    const kvs = [...current.values()]
-      .filter((stored) => isInRange(stored.path, range))
-      .map(encodeStoredValue);
-    return { header: { revision: String(revision) }, kvs, count: String(kvs.length) };
+    if (isDown) {
+      reply.code(503).send({ error: "unavailable" });
+      return;
+    }
+    done();
+  });
+  server.post("/v3/kv/range", (request) => {
+    const body = request.body as RangeRequest;
+    const range = decodeRange(body);
+    const found = history.listValues(getShownRevision())
+      .filter((stored) => isInRange(stored.path, range));
+    const kvs = body.count_only === true ? [] : found.map(encodeStoredValue);
+    return { header: buildHeader(), kvs, count: String(found.length) };
   });
   server.post("/v3/watch", (request, reply) => {
-    calls += 1;
     const { create_request: created } = request.body as WatchRequest;
-    const watcher = openWatcher(reply, decodeRange(created), () => revision);
+    const watcher = openWatcher(reply, decodeRange(created));
     const startRevision = Number(created.start_revision ?? 0);
-    const missed = history.filter((stored) =>
-      startRevision > 0 && stored.revision >= startRevision && isInRange(stored.path, watcher)
-    );
-    if (missed.length > 0) {
-      watcher.send(missed);
+    const compacted = history.getCompactedRevision();
+    if (startRevision > 0 && startRevision <= compacted) {
+      watcher.send({ header: buildHeader(), canceled: true, compact_revision: String(compacted) });
+      watcher.end("");
+      return;
     }
+    watcher.send({ header: buildHeader(), created: true });
+    sendChanges(watcher, startRevision > 0 ? history.listChangesFrom(startRevision) : []);
     watchers.add(watcher);
     reply.raw.on("close", () => watchers.delete(watcher));
   });
@@ -97,42 +123,48 @@
     putValue: (path, value) => storeValue(path, value, false),
     deleteValue: (path) => storeValue(path, "", true),
     countCalls: () => calls,
+    setDown: (wanted) => {
+      isDown = wanted;
+      cutWatches();
+    },
+    setStale: (revision) => {
+      staleRevision = revision;
+      cutWatches();
+    },
+    compactChanges: history.dropChanges,
+    restoreRevision: (revision) => {
+      history.restoreRevision(revision);
+      cutWatches();
+    },
+    cutWatches,
   };
 }
 
-function openWatcher(
-  reply: FastifyReply,
-  range: { start: string; end: string },
-  readRevision: () => number,
-): Watcher {
+function openWatcher(reply: FastifyReply, range: KeyRange): Watcher {
   reply.hijack();
   reply.raw.writeHead(200, { "content-type": "application/json" });
-  const writeResult = (result: unknown) => reply.raw.write(`${JSON.stringify({ result })}\n`);
-  writeResult({ header: { revision: String(readRevision()) }, created: true });
   return {
     ...range,
-    send: (values) =>
-      writeResult({
-        header: { revision: String(readRevision()) },
-        events: values.map((stored) => ({
-          ...(stored.isDeleted ? { type: "DELETE" } : {}),
-          kv: encodeStoredValue(stored),
-        })),
-      }),
+    send: (result) => reply.raw.write(`${JSON.stringify({ result })}\n`),
+    end: (text) => reply.raw.end(text),
   };
 }
 
-function decodeRange(request: RangeRequest): { start: string; end: string } {
+function decodeRange(request: RangeRequest): KeyRange {
   return { start: decodeBase64(request.key), end: decodeBase64(request.range_end ?? "") };
 }
 
-function isInRange(path: string, range: { start: string; end: string }): boolean {
+function isInRange(path: string, range: KeyRange): boolean {
   if (range.end === "") {
     return path === range.start;
   }
   return path >= range.start && (range.end === "\0" || path < range.end);
 }
 
+function encodeEvent(stored: StoredValue) {
+  return { ...(stored.isDeleted ? { type: "DELETE" } : {}), kv: encodeStoredValue(stored) };
+}
+
 function encodeStoredValue(stored: StoredValue) {
   return {
     key: Buffer.from(stored.path).toString("base64"),
