--- a/packages/daemon/src/adapters/create_etcd_settings_source.ts
+++ b/packages/daemon/src/adapters/create_etcd_settings_source.ts
@@ -120,7 +120,6 @@
     await answer.body.dump();
     return createResultError("settingsServiceUnavailable", `${url}: status ${answer.statusCode}`);
   }
-  answer.body.setEncoding("utf8");
   for await (const line of splitLines(answer.body, ETCD_LIMITS.maxLineLength)) {
     if (line.trim() === "") {
       continue;
--- a/packages/daemon/src/adapters/split_lines.ts
+++ b/packages/daemon/src/adapters/split_lines.ts
@@ -1,12 +1,13 @@
-/** Joins chunks of text and yields whole lines; throws beyond `maxLength` without a line end. */
+/** Joins chunks of UTF-8 text and yields whole lines; throws beyond `maxLength` without a line end. */
 export async function* splitLines(
-  chunks: AsyncIterable<string>,
+  chunks: AsyncIterable<Uint8Array>,
   maxLength: number,
 ): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
   let parts: string[] = [];
   let length = 0;
   for await (const chunk of chunks) {
-    const pieces = chunk.split("\n");
+    const pieces = decoder.decode(chunk, { stream: true }).split("\n");
     for (const piece of pieces.slice(0, -1)) {
       yield [...parts, piece].join("");
       parts = [];
--- a/packages/daemon/src/settings/create_settings.ts
+++ b/packages/daemon/src/settings/create_settings.ts
@@ -124,17 +124,17 @@
   };
   const readAll = async () =>
     dispatchAnswer(
-      (await options.source.readAll()).either<SettingsEvent>(
-        (error) => ({ type: "readFailed", detail: error.detail }),
-        (batch) => ({ type: "readAnswered", batch }),
-      ),
+      (await options.source.readAll()).caseOf<SettingsEvent>({
+        Left: (error) => ({ type: "readFailed", detail: error.detail }),
+        Right: (batch) => ({ type: "readAnswered", batch }),
+      }),
     );
   const readRevision = async () =>
     dispatch(
-      (await options.source.readRevision()).either<SettingsEvent>(
-        (error) => ({ type: "probeFailed", detail: error.detail }),
-        (revision) => ({ type: "probeAnswered", revision }),
-      ),
+      (await options.source.readRevision()).caseOf<SettingsEvent>({
+        Left: (error) => ({ type: "probeFailed", detail: error.detail }),
+        Right: (revision) => ({ type: "probeAnswered", revision }),
+      }),
     );
   const openWatch = (after: number) => {
     stopWatch();
@@ -193,7 +193,7 @@
         dispatch({ type: "peerDigest", from, digest: parsed.digest });
         return undefined;
       case "pull":
-        return { digest: buildDigest(), ...selectSettingsPage(state, parsed) } as SettingsPage;
+        return { digest: buildDigest(), ...selectSettingsPage(state, parsed) };
     }
   };
 
--- a/packages/daemon/src/settings/create_settings_agent.ts
+++ b/packages/daemon/src/settings/create_settings_agent.ts
@@ -111,7 +111,7 @@
   };
 
   const applyRead = (batch: PublishedBatch, nowMs: number): SettingsEffect[] => {
-    reader.observeRead(batch, nowMs);
+    reader.observeRead(batch.revision, nowMs);
     const isCurrent = batch.revision >= state.getHighestRevision();
     const deleted = isCurrent ? listDeleted(state, batch) : [];
     const effects = applyUpdates([...batch.values, ...deleted], "service");
@@ -121,12 +121,14 @@
     return [...effects, ...observeServiceRevision(batch.revision, nowMs)];
   };
   const applyWatch = (batch: PublishedBatch, nowMs: number): SettingsEffect[] => {
-    reader.observeWatch(batch);
+    reader.observeWatch(batch.revision);
     const effects = applyUpdates(batch.values, "service");
     const ignored = batch.values.filter((update) =>
       (state.getEntry(update.path)?.newest.revision ?? 0) > update.revision
     );
-    const reports = ignored.slice(0, MAX_LOGGED_PATHS).map(({ path, revision }): SettingsEffect => ({
+    const reports = ignored.slice(0, MAX_LOGGED_PATHS).map((
+      { path, revision },
+    ): SettingsEffect => ({
       type: "log",
       event: "settingsUpdateIgnored",
       fields: { path, revision, held: state.getEntry(path)?.newest.revision ?? 0 },
--- a/packages/daemon/src/settings/create_settings_view.ts
+++ b/packages/daemon/src/settings/create_settings_view.ts
@@ -19,9 +19,10 @@
   state: SettingsState,
   subscribe: SettingsView["subscribe"],
 ): SettingsView {
-  const getValue = <Value>(path: string) => state.getEntry(path)?.accepted?.value as
-    | Value
-    | undefined;
+  const getValue = <Value>(path: string) =>
+    state.getEntry(path)?.accepted?.value as
+      | Value
+      | undefined;
   const listBelow = <Value>(section: string): ReadonlyMap<string, Value> => {
     const prefix = `${section}/`;
     const found: [string, Value][] = [];
--- a/packages/daemon/src/settings/peer_sync_state.ts
+++ b/packages/daemon/src/settings/peer_sync_state.ts
@@ -84,7 +84,9 @@
       const peer = trackPeer(from);
       peer.pagesInRow += 1;
       peer.next = next;
-      if ((!isProductive && next === undefined) || peer.pagesInRow >= SETTINGS_LIMITS.maxPagesInRow) {
+      if (
+        (!isProductive && next === undefined) || peer.pagesInRow >= SETTINGS_LIMITS.maxPagesInRow
+      ) {
         settlePeer(from, ownHash);
       }
     },
--- a/packages/daemon/src/settings/select_settings_page.ts
+++ b/packages/daemon/src/settings/select_settings_page.ts
@@ -16,7 +16,7 @@
 
 /** One page of updates. */
 export interface SelectedPage {
-  readonly updates: readonly SettingsUpdate[];
+  readonly updates: SettingsUpdate[];
   /** Last path of a page that was cut while listing buckets that differ. */
   readonly next?: string;
 }
--- a/packages/daemon/src/settings/service_reader_state.ts
+++ b/packages/daemon/src/settings/service_reader_state.ts
@@ -1,4 +1,3 @@
-import type { PublishedBatch } from "../adapters/settings_source.ts";
 import { rankByRendezvous } from "../common/rank_by_rendezvous.ts";
 import { SETTINGS_LIMITS } from "./constants.ts";
 import { createTokenBucket } from "./create_token_bucket.ts";
@@ -22,8 +21,8 @@
     readonly hasPeers: boolean;
     readonly confirmedAtMs: number;
   }): SettingsEffect[];
-  observeRead(batch: PublishedBatch, nowMs: number): void;
-  observeWatch(batch: PublishedBatch): void;
+  observeRead(revision: number, nowMs: number): void;
+  observeWatch(revision: number): void;
   /** Returns whether the watch has everything up to the service's revision. */
   observeProbe(revision: number): boolean;
   observeWatchEnd(isCompacted: boolean, nowMs: number): void;
@@ -124,16 +123,16 @@
       }
       return nowMs - confirmedAtMs >= quietMs ? startRead(nowMs) : [];
     },
-    observeRead: (batch, nowMs) => {
+    observeRead: (revision, nowMs) => {
       isReading = false;
       isReadNeeded = false;
       failures = 0;
       readAtMs = nowMs;
-      watchRevision = batch.revision;
+      watchRevision = revision;
     },
-    observeWatch: (batch) => {
+    observeWatch: (revision) => {
       failures = 0;
-      watchRevision = Math.max(watchRevision, batch.revision);
+      watchRevision = Math.max(watchRevision, revision);
     },
     observeProbe: (revision) => {
       isProbing = false;
--- a/packages/daemon/src/settings/settings_message_schema.ts
+++ b/packages/daemon/src/settings/settings_message_schema.ts
@@ -16,8 +16,9 @@
     /** Highest revision that the asking daemon holds. */
     known: z.number().int().nonnegative(),
     /** Hashes of its buckets. */
-    buckets: z.instanceof(Uint8Array).refine(
-      (bytes) => bytes.length === SETTINGS_LIMITS.buckets * BUCKET_BYTES,
+    buckets: z.custom<Uint8Array>(
+      (bytes) =>
+        bytes instanceof Uint8Array && bytes.length === SETTINGS_LIMITS.buckets * BUCKET_BYTES,
       "expected one hash for each bucket",
     ),
     /** Last path of the page before, when it was cut. */
--- a/packages/daemon/src/settings/settings_state.ts
+++ b/packages/daemon/src/settings/settings_state.ts
@@ -86,7 +86,7 @@
     if (!isWithinBounds(update)) {
       return "refused";
     }
-    const verdict = judgeUpdate(update);
+    const verdict = validateUpdate(update);
     const isAccepted = verdict.accepted !== undefined;
     if (!isAccepted && !isNewest) {
       return "stale";
@@ -129,7 +129,7 @@
   return { path, revision, oversizeBytes: Buffer.byteLength(text) };
 }
 
-function judgeUpdate(
+function validateUpdate(
   update: SettingsUpdate,
 ): { accepted?: AcceptedValue; findings: readonly SettingsFinding[] } {
   const { path, text, oversizeBytes } = update;
@@ -140,10 +140,10 @@
   if (text === undefined) {
     return { accepted: { update }, findings: [] };
   }
-  return parseSettingsValue(path, text).either<ReturnType<typeof judgeUpdate>>(
-    (findings) => ({ findings: findings.slice(0, SETTINGS_LIMITS.maxFindings) }),
-    (value) => ({ accepted: { update, value }, findings: [] }),
-  );
+  return parseSettingsValue(path, text).caseOf<ReturnType<typeof validateUpdate>>({
+    Left: (findings) => ({ findings: findings.slice(0, SETTINGS_LIMITS.maxFindings) }),
+    Right: (value) => ({ accepted: { update, value }, findings: [] }),
+  });
 }
 
 function isTombstone(entry: SettingsEntry | undefined): boolean {
--- a/packages/stand_ins/src/settings_service/create_settings_service.ts
+++ b/packages/stand_ins/src/settings_service/create_settings_service.ts
@@ -40,7 +40,7 @@
 
 interface Watcher extends KeyRange {
   send(result: object): void;
-  end(text: string): void;
+  close(text: string): void;
 }
 
 interface RangeRequest {
@@ -77,7 +77,7 @@
     return change.revision;
   };
   const cutWatches = (text = "") => {
-    watchers.forEach((watcher) => watcher.end(text));
+    watchers.forEach((watcher) => watcher.close(text));
     watchers.clear();
   };
   for (const [path, value] of Object.entries(options.values ?? {})) {
@@ -108,7 +108,7 @@
     const compacted = history.getCompactedRevision();
     if (startRevision > 0 && startRevision <= compacted) {
       watcher.send({ header: buildHeader(), canceled: true, compact_revision: String(compacted) });
-      watcher.end("");
+      watcher.close("");
       return;
     }
     watcher.send({ header: buildHeader(), created: true });
@@ -146,7 +146,7 @@
   return {
     ...range,
     send: (result) => reply.raw.write(`${JSON.stringify({ result })}\n`),
-    end: (text) => reply.raw.end(text),
+    close: (text) => reply.raw.end(text),
   };
 }
 
