--- /dev/null
+++ b/packages/daemon/src/generations/testing/create_scripted_engine.ts
@@ -0,0 +1,68 @@
+import { createResultError } from "@crocussail/protocol";
+import type { ResultError } from "@crocussail/protocol";
+import { Left, Right } from "purify-ts";
+import { createEventQueue } from "../../adapters/create_event_queue.ts";
+import type { EngineClient, EngineStream } from "../../adapters/engine_client.ts";
+import type { EngineEvent } from "../../adapters/engine_event_schema.ts";
+
+/** What one connection brings, asked for from an index of a generation. */
+export type ConnectionScript = (generation: string, from: number) => ScriptedConnection;
+
+/** A failure to connect, or events after which the link is cut or stays silent. */
+export type ScriptedConnection =
+  | ResultError
+  | { readonly events: readonly EngineEvent[]; readonly then: "cut" | "stall" };
+
+/** Engine client whose connections follow a script. */
+export interface ScriptedEngine extends EngineClient {
+  /** Calls in order, for example `start plan-1`, `resume 3`, `cancel plan-1`. */
+  readonly calls: string[];
+}
+
+/** Creates a scripted engine; the last script also serves all further connections. */
+export function createScriptedEngine(
+  scripts: readonly ConnectionScript[],
+  cancelFailure?: ResultError,
+): ScriptedEngine {
+  const calls: string[] = [];
+  let connections = 0;
+  const openConnection = (generation: string, from: number) => {
+    const script = scripts[Math.min(connections, scripts.length - 1)];
+    connections += 1;
+    const connection = script?.(generation, from) ?? createResultError("upstreamLost", "no script");
+    if ("code" in connection) {
+      return Promise.resolve(Left(connection));
+    }
+    return Promise.resolve(Right(createStream(connection)));
+  };
+  return {
+    calls,
+    startGeneration: (url, { generation }) => {
+      calls.push(`start ${url}`);
+      return openConnection(generation, 0);
+    },
+    resumeGeneration: (_url, generation, index) => {
+      calls.push(`resume ${index}`);
+      return openConnection(generation, index);
+    },
+    cancelGeneration: (url) => {
+      calls.push(`cancel ${url}`);
+      return Promise.resolve(cancelFailure === undefined ? Right(undefined) : Left(cancelFailure));
+    },
+  };
+}
+
+function createStream(connection: Exclude<ScriptedConnection, ResultError>): EngineStream {
+  const ignore = () => {};
+  const queue = createEventQueue({
+    maxEvents: Number.POSITIVE_INFINITY,
+    pauseSource: ignore,
+    resumeSource: ignore,
+    closeSource: ignore,
+  });
+  queue.pushEvents(connection.events);
+  if (connection.then === "cut") {
+    queue.end();
+  }
+  return queue.stream;
+}
