--- a/packages/daemon/src/adapters/create_http_engine_client.ts
+++ b/packages/daemon/src/adapters/create_http_engine_client.ts
@@ -4,10 +4,11 @@
 import { describeEngineFailure } from "./describe_engine_failure.ts";
 import type { EngineClient, EngineRequest } from "./engine_client.ts";
 import { HTTP_ENGINE_DEFAULTS } from "./http_engine_defaults.ts";
+import type { HttpEngineLimits } from "./http_engine_defaults.ts";
 import { openEngineStream } from "./open_engine_stream.ts";
 
 /** Options of {@link createHttpEngineClient}; each replaces one of the defaults. */
-export type HttpEngineClientOptions = Partial<typeof HTTP_ENGINE_DEFAULTS>;
+export type HttpEngineClientOptions = Partial<HttpEngineLimits>;
 
 const NOT_FOUND = 404;
 const FIRST_ERROR_STATUS = 400;
--- a/packages/daemon/src/adapters/http_engine_defaults.ts
+++ b/packages/daemon/src/adapters/http_engine_defaults.ts
@@ -10,3 +10,6 @@
   /** Events waiting for the relay; at the bound the connection is not read until they are taken. */
   maxQueuedEvents: 256,
 });
+
+/** Limits of the HTTP engine client by name. */
+export type HttpEngineLimits = Readonly<Record<keyof typeof HTTP_ENGINE_DEFAULTS, number>>;
--- a/packages/daemon/src/adapters/open_engine_stream.ts
+++ b/packages/daemon/src/adapters/open_engine_stream.ts
@@ -8,12 +8,12 @@
 import { describeEngineFailure } from "./describe_engine_failure.ts";
 import { describeEngineStatus } from "./describe_engine_status.ts";
 import type { EngineStream } from "./engine_client.ts";
-import type { HTTP_ENGINE_DEFAULTS } from "./http_engine_defaults.ts";
+import type { HttpEngineLimits } from "./http_engine_defaults.ts";
 
 /** Options of {@link openEngineStream}. */
 export interface OpenEngineStreamOptions {
   readonly agent: Agent;
-  readonly limits: typeof HTTP_ENGINE_DEFAULTS;
+  readonly limits: HttpEngineLimits;
   readonly origin: string;
   readonly path: string;
   readonly method: "GET" | "POST";
--- a/packages/daemon/src/generations/create_canceller.ts
+++ b/packages/daemon/src/generations/create_canceller.ts
@@ -1,13 +1,13 @@
 import type { Clock, Logger, ResultError } from "@crocussail/protocol";
 import type { EngineClient } from "../adapters/engine_client.ts";
-import type { GENERATION_DEFAULTS } from "./generation_defaults.ts";
+import type { GenerationLimits } from "./generation_defaults.ts";
 
 /** Options of {@link createCanceller}. */
 export interface CancellerOptions {
   readonly engine: EngineClient;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly limits: Pick<typeof GENERATION_DEFAULTS, "cancelAttempts" | "cancelRetryMs">;
+  readonly limits: Pick<GenerationLimits, "cancelAttempts" | "cancelRetryMs">;
 }
 
 /** Cancels generations on their upstreams. */
--- a/packages/daemon/src/generations/create_generations.ts
+++ b/packages/daemon/src/generations/create_generations.ts
@@ -13,6 +13,7 @@
 import { createRunTable } from "./create_run_table.ts";
 import { createStreamSlots } from "./create_stream_slots.ts";
 import { GENERATION_DEFAULTS } from "./generation_defaults.ts";
+import type { GenerationLimits } from "./generation_defaults.ts";
 import type { GenerationApi } from "./generation_request.ts";
 import type { GenerationServices } from "./generation_services.ts";
 import type { Generations } from "./generations.ts";
@@ -24,7 +25,7 @@
   readonly membership: Pick<Membership, "publishNotice" | "subscribeNotices">;
   readonly admission: Admission;
   readonly engine: EngineClient;
-  readonly limits?: Partial<typeof GENERATION_DEFAULTS>;
+  readonly limits?: Partial<GenerationLimits>;
 }
 
 /** Creates the generations slice. */
--- a/packages/daemon/src/generations/create_handover.ts
+++ b/packages/daemon/src/generations/create_handover.ts
@@ -3,7 +3,7 @@
 import type { DaemonContext } from "../common/daemon_context.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { RunTable } from "./create_run_table.ts";
-import type { GENERATION_DEFAULTS } from "./generation_defaults.ts";
+import type { GenerationLimits } from "./generation_defaults.ts";
 import { handoverMessageSchema } from "./handover_message_schema.ts";
 import type { HandoverMessage } from "./handover_message_schema.ts";
 import type { ResumeToken } from "./resume_token_schema.ts";
@@ -13,7 +13,7 @@
   readonly context: Pick<DaemonContext, "peers" | "logger" | "config">;
   readonly membership: Pick<Membership, "publishNotice" | "subscribeNotices">;
   readonly limits: Pick<
-    typeof GENERATION_DEFAULTS,
+    GenerationLimits,
     "handoverAttempts" | "handoverTimeoutMs" | "resumeGraceMs"
   >;
   readonly runs: RunTable;
--- a/packages/daemon/src/generations/create_quarantine.ts
+++ b/packages/daemon/src/generations/create_quarantine.ts
@@ -4,6 +4,7 @@
 import { clearSuspect } from "./clear_suspect.ts";
 import { decideQuarantine } from "./decide_quarantine.ts";
 import { QUARANTINE_DEFAULTS } from "./quarantine_defaults.ts";
+import type { QuarantineSettings } from "./quarantine_defaults.ts";
 import { quarantineNoticeSchema } from "./quarantine_notice_schema.ts";
 import type { QuarantineNotice } from "./quarantine_notice_schema.ts";
 import { recordCrash } from "./quarantine_state.ts";
@@ -14,7 +15,7 @@
 export interface QuarantineOptions {
   readonly context: Pick<DaemonContext, "clock" | "logger" | "random">;
   readonly membership: Pick<Membership, "publishNotice" | "subscribeNotices">;
-  readonly limits?: Partial<typeof QUARANTINE_DEFAULTS>;
+  readonly limits?: Partial<QuarantineSettings>;
 }
 
 /** Finds requests that crash upstreams, together with the other daemons. */
--- a/packages/daemon/src/generations/create_run_table.ts
+++ b/packages/daemon/src/generations/create_run_table.ts
@@ -2,13 +2,13 @@
 import type { AdmissionOutcome } from "../admission/mod.ts";
 import { createIdleTimer } from "./create_idle_timer.ts";
 import type { IdleTimer } from "./create_idle_timer.ts";
-import type { GENERATION_DEFAULTS } from "./generation_defaults.ts";
+import type { GenerationLimits } from "./generation_defaults.ts";
 import type { Run } from "./run.ts";
 
 /** Options of {@link createRunTable}. */
 export interface RunTableOptions {
   readonly clock: Clock;
-  readonly limits: typeof GENERATION_DEFAULTS;
+  readonly limits: GenerationLimits;
   /** Cancels a generation whose caller has not come back. */
   readonly cancelRun: (run: Run) => void;
 }
--- a/packages/daemon/src/generations/decide_quarantine.ts
+++ b/packages/daemon/src/generations/decide_quarantine.ts
@@ -5,6 +5,8 @@
   readonly earlyTokens: number;
   readonly minCrashes: number;
   readonly minBlame: number;
+  readonly massWindowMs: number;
+  readonly massUpstreams: number;
 }
 
 /** Why a request is quarantined. */
@@ -20,14 +22,18 @@
  *
  * It is guilty when it is the only request that two crashes of different upstreams have in common,
  * or when it died in its first steps each time and bears enough blame. The requests that died in
- * their first steps in one crash share its blame equally, so neighbours weigh little.
+ * their first steps in one crash share its blame equally, so neighbours weigh little. Crashes of
+ * many upstreams at once have a cause of their own, such as a lost data centre, and count for
+ * nothing.
  */
 export function decideQuarantine(
   fingerprint: string,
   crashes: readonly Crash[],
   thresholds: QuarantineThresholds,
 ): QuarantineVerdict {
-  const joined = crashes.filter((crash) => crash.suspects.has(fingerprint));
+  const joined = crashes.filter((crash) =>
+    crash.suspects.has(fingerprint) && !isMassFailure(crash, crashes, thresholds)
+  );
   const upstreams = new Set(joined.map((crash) => crash.upstream));
   if (upstreams.size < thresholds.minCrashes) {
     return { type: "clear" };
@@ -43,6 +49,17 @@
     : { type: "clear" };
 }
 
+function isMassFailure(
+  crash: Crash,
+  crashes: readonly Crash[],
+  thresholds: QuarantineThresholds,
+): boolean {
+  const near = crashes.filter((other) =>
+    Math.abs(other.firstMs - crash.firstMs) <= thresholds.massWindowMs
+  );
+  return new Set(near.map((other) => other.upstream)).size >= thresholds.massUpstreams;
+}
+
 function isOnlyCommonFactor(crashes: readonly Crash[]): boolean {
   return crashes.some((left, index) =>
     crashes.slice(index + 1).some((right) =>
--- a/packages/daemon/src/generations/generation_defaults.ts
+++ b/packages/daemon/src/generations/generation_defaults.ts
@@ -42,3 +42,6 @@
   tokenCharacters: 4,
   generationIdBytes: 12,
 });
+
+/** Limits of the generations slice by name. */
+export type GenerationLimits = Readonly<Record<keyof typeof GENERATION_DEFAULTS, number>>;
--- a/packages/daemon/src/generations/generation_services.ts
+++ b/packages/daemon/src/generations/generation_services.ts
@@ -7,13 +7,13 @@
 import type { Quarantine } from "./create_quarantine.ts";
 import type { RunTable } from "./create_run_table.ts";
 import type { StreamSlots } from "./create_stream_slots.ts";
-import type { GENERATION_DEFAULTS } from "./generation_defaults.ts";
+import type { GenerationLimits } from "./generation_defaults.ts";
 import type { RetryBudgetState } from "./retry_budget_state.ts";
 
 /** What the handlers of this slice share. */
 export interface GenerationServices {
   readonly context: DaemonContext;
-  readonly limits: typeof GENERATION_DEFAULTS;
+  readonly limits: GenerationLimits;
   readonly settings: SettingsView;
   readonly admission: Admission;
   readonly engine: EngineClient;
--- a/packages/daemon/src/generations/quarantine_defaults.ts
+++ b/packages/daemon/src/generations/quarantine_defaults.ts
@@ -20,4 +20,10 @@
   minCrashes: 2,
   /** Sum of blame over the crashes above which a request that always died early is guilty. */
   minBlame: 1.5,
+  /** Crashes of this many upstreams within this time of each other are no request's doing. */
+  massWindowMs: 10_000,
+  massUpstreams: 4,
 });
+
+/** Limits of the quarantine by name. */
+export type QuarantineSettings = Readonly<Record<keyof typeof QUARANTINE_DEFAULTS, number>>;
--- a/packages/daemon/src/generations/relay_generation.ts
+++ b/packages/daemon/src/generations/relay_generation.ts
@@ -2,7 +2,7 @@
 import type { EngineClient, EngineStream } from "../adapters/engine_client.ts";
 import type { AnswerWriter } from "./answer_writer.ts";
 import { decideReconnect } from "./decide_reconnect.ts";
-import type { GENERATION_DEFAULTS } from "./generation_defaults.ts";
+import type { GenerationLimits } from "./generation_defaults.ts";
 import { relayStream } from "./relay_stream.ts";
 import type { StreamEnd } from "./relay_stream.ts";
 
@@ -10,7 +10,7 @@
 export interface RelayOptions {
   readonly engine: EngineClient;
   readonly clock: Clock;
-  readonly limits: typeof GENERATION_DEFAULTS;
+  readonly limits: GenerationLimits;
   readonly writer: AnswerWriter;
   readonly url: string;
   readonly generation: string;
--- /dev/null
+++ b/packages/daemon/src/generations/serve_generation_test.ts
@@ -0,0 +1,224 @@
+import { createResultError } from "@crocussail/protocol";
+import type { RanState } from "@crocussail/protocol";
+import { expect } from "chai";
+import type { TeamSettings } from "../settings/mod.ts";
+import { GENERATION_DEFAULTS } from "./generation_defaults.ts";
+import { serveGeneration } from "./serve_generation.ts";
+import { advanceUntilSettled } from "./testing/advance_until_settled.ts";
+import { createRecordingWriter } from "./testing/create_recording_writer.ts";
+import { createScriptedEngine } from "./testing/create_scripted_engine.ts";
+import type { ConnectionScript } from "./testing/create_scripted_engine.ts";
+import { createTestServices } from "./testing/create_test_services.ts";
+import { makeEvents } from "./testing/make_events.ts";
+
+const LENGTH = 3;
+const WHOLE = ["0:t0", "1:t1", "2:t2", "finish 3 stop"];
+const UPSTREAMS = ["plan-1", "plan-2", "plan-3", "plan-4"];
+const FINGERPRINT = "0".repeat(32);
+
+const serve: ConnectionScript = (generation, from) => ({
+  events: makeEvents(generation, from, LENGTH),
+  then: "stall",
+});
+const serveFirst: ConnectionScript = (generation) => ({
+  events: makeEvents(generation, 0, LENGTH).slice(0, 1),
+  then: "cut",
+});
+const open: ConnectionScript = () => ({ events: [], then: "cut" });
+const refuse: ConnectionScript = () => createResultError("upstreamRefused", "leaving");
+const lose: ConnectionScript = () => createResultError("upstreamLost", "reset", { ran: "unknown" });
+const forget: ConnectionScript = () => createResultError("generationUnknown", "404");
+
+interface Setup {
+  readonly scripts: readonly ConnectionScript[];
+  readonly upstreams?: readonly string[];
+  readonly retryTokens?: number;
+  readonly deadlineMs?: number;
+}
+
+function startRequest(setup: Setup) {
+  const engine = createScriptedEngine(setup.scripts);
+  const writer = createRecordingWriter();
+  const test = createTestServices({ engine, upstreams: UPSTREAMS, ...setup });
+  const end = serveGeneration(test.services, {
+    requestId: "r1",
+    team: { name: "planners", kinds: {} } as TeamSettings,
+    kind: "plan",
+    request: { api: "chat", model: "plan-70b", prompt: "Plan", promptTokens: 1, isStream: true },
+    writer,
+    fingerprint: FINGERPRINT,
+    deadlineMs: setup.deadlineMs ?? 60_000,
+  });
+  return { ...test, engine, writer, end };
+}
+
+describe("placement of a generation", () => {
+  const cases: readonly (Setup & {
+    title: string;
+    received: readonly string[];
+    ran?: RanState;
+    calls: readonly string[];
+    releases: readonly string[];
+  })[] = [
+    {
+      title: "runs once when nothing fails",
+      scripts: [serve],
+      received: WHOLE,
+      calls: ["start plan-1"],
+      releases: ["plan-1 finished"],
+    },
+    {
+      title: "moves on from a leaving engine without a cancel, for nothing ran there",
+      scripts: [refuse, serve],
+      received: WHOLE,
+      calls: ["start plan-1", "start plan-2"],
+      releases: ["plan-1 notRun", "plan-2 finished"],
+    },
+    {
+      title: "cancels a start of unknown fate before it starts elsewhere",
+      scripts: [lose, serve],
+      received: WHOLE,
+      calls: ["start plan-1", "cancel plan-1", "start plan-2"],
+      releases: ["plan-1 lost", "plan-2 finished"],
+    },
+    {
+      title: "cancels and moves on after a death before the first token",
+      scripts: [open, forget, serve],
+      received: WHOLE,
+      calls: ["start plan-1", "resume 0", "start plan-2"],
+      releases: ["plan-1 lost", "plan-2 finished"],
+    },
+    {
+      title: "never places again after the first token",
+      scripts: [serveFirst, forget, serve],
+      received: ["0:t0", "error generationUnknown"],
+      ran: "yes",
+      calls: ["start plan-1", "resume 1"],
+      releases: ["plan-1 lost"],
+    },
+    {
+      title: "says not run when every engine refused",
+      scripts: [refuse],
+      received: ["error upstreamRefused"],
+      ran: "no",
+      calls: ["start plan-1", "start plan-2", "start plan-3"],
+      releases: ["plan-1 notRun", "plan-2 notRun", "plan-3 notRun"],
+    },
+    {
+      title: "does not say not run when no engine is left after a start of unknown fate",
+      scripts: [lose, refuse],
+      upstreams: ["plan-1", "plan-2"],
+      received: ["error noUpstream"],
+      ran: "unknown",
+      calls: ["start plan-1", "cancel plan-1", "start plan-2"],
+      releases: ["plan-1 lost", "plan-2 notRun"],
+    },
+    {
+      title: "does not say not run when no engine is left after one that ran",
+      scripts: [open, forget, refuse],
+      upstreams: ["plan-1", "plan-2"],
+      received: ["error noUpstream"],
+      ran: "yes",
+      calls: ["start plan-1", "resume 0", "start plan-2"],
+      releases: ["plan-1 lost", "plan-2 notRun"],
+    },
+    {
+      title: "does not place again once the retry budget is spent",
+      scripts: [lose, serve],
+      retryTokens: 0,
+      received: ["error upstreamLost"],
+      ran: "unknown",
+      calls: ["start plan-1", "cancel plan-1"],
+      releases: ["plan-1 lost"],
+    },
+    {
+      title: "starts nothing after the deadline",
+      scripts: [serve],
+      deadlineMs: 0,
+      received: ["error timeout"],
+      ran: "no",
+      calls: [],
+      releases: ["plan-1 notRun"],
+    },
+    {
+      title: "stops after two upstreams that died under it",
+      scripts: [open, forget, open, forget, serve],
+      received: ["error requestQuarantined"],
+      ran: "yes",
+      calls: ["start plan-1", "resume 0", "start plan-2", "resume 0"],
+      releases: ["plan-1 lost", "plan-2 lost"],
+    },
+  ];
+  for (const { title, received, ran, calls, releases, ...setup } of cases) {
+    it(title, async () => {
+      const test = startRequest(setup);
+      await advanceUntilSettled(test.clock, test.end);
+      expect(test.writer.received).to.deep.equal(received);
+      expect(test.writer.errors.map((error) => error.ran)).to.deep.equal(ran ? [ran] : []);
+      expect(test.engine.calls).to.deep.equal(calls);
+      expect(test.releases).to.deep.equal(releases);
+    });
+  }
+
+  it("names in the error how many tokens stand", async () => {
+    const test = startRequest({ scripts: [serveFirst, forget] });
+    await advanceUntilSettled(test.clock, test.end);
+    expect(test.writer.errors[0]?.members).to.deep.equal({ tokens: 1 });
+  });
+
+  it("delivers tokens of one generation only, though two were started", async () => {
+    const test = startRequest({ scripts: [open, forget, serve] });
+    await advanceUntilSettled(test.clock, test.end);
+    expect(new Set(test.writer.sources).size).to.equal(2);
+    expect(test.writer.received).to.deep.equal(WHOLE);
+  });
+});
+
+describe("vanished callers", () => {
+  const hang: ConnectionScript = (generation) => ({
+    events: makeEvents(generation, 0, LENGTH).slice(0, 1),
+    then: "stall",
+  });
+  const silent: ConnectionScript = () => ({ events: [], then: "stall" });
+  const startAndLeave = async (script: ConnectionScript) => {
+    const test = startRequest({ scripts: [script, serve] });
+    await new Promise((resolve) => setImmediate(resolve));
+    test.writer.leave();
+    await test.end;
+    return test;
+  };
+
+  it("cancels at once when no token had been delivered", async () => {
+    const test = await startAndLeave(silent);
+    expect(test.engine.calls).to.deep.equal(["start plan-1", "cancel plan-1"]);
+    expect(test.releases).to.deep.equal(["plan-1 cancelled"]);
+  });
+
+  it("cancels after the grace when nobody resumes", async () => {
+    const test = await startAndLeave(hang);
+    test.clock.advance(GENERATION_DEFAULTS.resumeGraceMs - 1);
+    expect(test.releases).to.deep.equal([]);
+    test.clock.advance(1);
+    expect(test.engine.calls).to.deep.equal(["start plan-1", "cancel plan-1"]);
+    expect(test.releases).to.deep.equal(["plan-1 cancelled"]);
+  });
+
+  it("cancels nothing that another host has resumed, and keeps its grant until that ends", async () => {
+    const test = await startAndLeave(hang);
+    const [generation = ""] = test.writer.sources;
+    test.services.runs.moveRun(generation, "planners", "host-2");
+    test.clock.advance(GENERATION_DEFAULTS.resumeGraceMs * 2);
+    expect(test.engine.calls).to.deep.equal(["start plan-1"]);
+    expect(test.releases).to.deep.equal([]);
+    test.services.runs.finishMoved(generation, "planners", "finished", LENGTH);
+    expect(test.releases).to.deep.equal(["plan-1 finished"]);
+  });
+
+  it("does not move the run of another team", async () => {
+    const test = await startAndLeave(hang);
+    const [generation = ""] = test.writer.sources;
+    test.services.runs.moveRun(generation, "strangers", "host-2");
+    test.clock.advance(GENERATION_DEFAULTS.resumeGraceMs);
+    expect(test.releases).to.deep.equal(["plan-1 cancelled"]);
+  });
+});
