--- /dev/null
+++ b/packages/daemon/src/http/create_caller_server_test.ts
@@ -0,0 +1,89 @@
+import { expect } from "chai";
+import { readFileSync } from "node:fs";
+import { Agent, request } from "undici";
+import { createManualClock } from "../common/create_manual_clock.ts";
+import { createCallerServer } from "./create_caller_server.ts";
+import type { CallerServerOptions } from "./create_caller_server.ts";
+
+const readTestData = (name: string) =>
+  readFileSync(new URL(`../../testdata/${name}`, import.meta.url), "utf8");
+
+interface Recorded {
+  readonly name: string;
+  readonly tags: Readonly<Record<string, string>>;
+}
+
+function createServer(recorded: Recorded[], options: Partial<CallerServerOptions> = {}) {
+  const server = createCallerServer({
+    clock: createManualClock(),
+    logger: { writeEvent: () => {} },
+    metrics: {
+      increment: (name, _value, tags = {}) => recorded.push({ name, tags }),
+      gauge: () => {},
+      distribution: () => {},
+    },
+    readMaxBodyBytes: () => 64,
+    createRequestId: () => "request-1",
+    ...options,
+  });
+  server.post("/echo", (call) => call.body);
+  server.get("/fault", () => {
+    throw new Error("secret detail");
+  });
+  return server;
+}
+
+describe("createCallerServer", () => {
+  it("answers over TLS with the given certificate", async () => {
+    const cert = readTestData("tls_certificate.pem");
+    const server = createServer([], { tls: { cert, key: readTestData("tls_key.pem") } });
+    const url = await server.listen({ host: "127.0.0.1", port: 0 });
+    const dispatcher = new Agent({ connect: { ca: cert } });
+    const answer = await request(`${url}/echo`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: '{"a":1}',
+      dispatcher,
+    });
+    expect(url).to.match(/^https:/);
+    expect(await answer.body.json()).to.deep.equal({ a: 1 });
+    await dispatcher.destroy();
+    await server.close();
+  });
+
+  const bodies: readonly { title: string; bytes: number; status: number }[] = [
+    { title: "a body at the limit in force", bytes: 64, status: 200 },
+    { title: "a body over the limit in force", bytes: 65, status: 413 },
+  ];
+  for (const { title, bytes, status } of bodies) {
+    it(`answers ${title} with ${status}`, async () => {
+      const server = createServer([]);
+      const payload = `"${"x".repeat(bytes - 2)}"`;
+      const answer = await server.inject({
+        method: "POST",
+        url: "/echo",
+        headers: { "content-type": "application/json" },
+        payload,
+      });
+      expect(answer.statusCode).to.equal(status);
+    });
+  }
+
+  it("names the request id and hides the fault of a handler", async () => {
+    const answer = await createServer([]).inject({ method: "GET", url: "/fault" });
+    expect(answer.statusCode).to.equal(500);
+    expect(answer.headers["x-request-id"]).to.equal("request-1");
+    expect(answer.json()).to.include({ code: 1006, ran: "unknown", detail: "request request-1" });
+    expect(answer.body).not.to.contain("secret detail");
+  });
+
+  it("counts each answer by route and status", async () => {
+    const recorded: Recorded[] = [];
+    const server = createServer(recorded);
+    const url = await server.listen({ host: "127.0.0.1", port: 0 });
+    const answer = await request(`${url}/nowhere/at/all`);
+    await answer.body.dump();
+    await server.close();
+    expect(recorded).to.deep.equal([{ name: "requests", tags: { route: "none", status: "404" } }]);
+  });
+});
