--- a/packages/daemon/src/generations/create_handover.ts
+++ b/packages/daemon/src/generations/create_handover.ts
@@ -50,7 +50,7 @@
       detail = (reply.extract() as ResultError).detail;
     }
     const { generation } = message;
-    logger.writeEvent("resumeUnacknowledged", { host, generation, detail });
+    logger.writeEvent("resumeUnacknowledged", { formerHost: host, generation, detail });
     return false;
   };
   const applyMessage = (from: string, message: HandoverMessage) => {
