Measure the relay on real sockets, and reuse engine connections after a finish

Cause: every finished stream aborted its engine connection, so each request connected anew. Change: bench:relay runs the daemon on one thread, engine and load on threads of their own; after a finish event the engine gets a second to end its response, then the connection serves again.

--- /dev/null
+++ b/bench/src/relay/load_worker.ts
@@ -0,0 +1,184 @@
+/**
+ * Worker of the relay measurement: opens streams at a steady rate and times their tokens.
+ * @module
+ */
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import { Agent, request as sendHttpRequest } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { parentPort } from "node:worker_threads";
+import type { LoadOrder } from "./load_order.ts";
+import type { LoadResult, Percentiles } from "./load_result.ts";
+
+interface LoadState {
+  readonly order: LoadOrder;
+  readonly firstTokens: Histogram;
+  readonly tokenDelays: Histogram;
+  readonly open: Set<ClientRequest>;
+  /** Arrived tokens by second of the run. */
+  readonly bySecond: number[];
+  readonly startMs: number;
+  tokens: number;
+  finished: number;
+  failed: number;
+  isStopped: boolean;
+}
+
+const NS_PER_MS = 1e6;
+const MS_PER_SECOND = 1_000;
+const US_PER_MS = 1_000;
+const TOKEN = /"(?:token|content)":"(\d+\.\d+) "/g;
+const FINISH = /"finish(?:_reason)?":"stop"/;
+const agent = new Agent({ keepAlive: true, maxSockets: Number.POSITIVE_INFINITY });
+
+const readMs = () => Number(process.hrtime.bigint()) / NS_PER_MS;
+const createHistogram = () =>
+  build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 60_000_000,
+    numberOfSignificantValueDigits: 3,
+  });
+
+function openStream(state: LoadState): void {
+  const { order } = state;
+  const isDaemon = order.target === "daemon";
+  const prompt = `gap ${order.gapMs}`;
+  const body = JSON.stringify(
+    isDaemon
+      ? {
+        model: "plan-70b",
+        messages: [{ role: "user", content: prompt }],
+        max_tokens: order.tokens,
+        stream: true,
+      }
+      : {
+        generation: `g${state.startMs}-${state.open.size}-${state.tokens}`,
+        prompt,
+        max_tokens: order.tokens,
+      },
+  );
+  const sentMs = readMs();
+  const path = isDaemon ? "/v1/chat/completions" : "/v1/generations";
+  const headers = {
+    "authorization": `Bearer ${order.apiKey}`,
+    "content-type": "application/json",
+    "content-length": body.length,
+  };
+  const call = sendHttpRequest(`${order.url}${path}`, { method: "POST", agent, headers });
+  state.open.add(call);
+  call.on("response", (response) => readStream(state, { call, response, sentMs }));
+  call.on("error", () => endStream(state, call, false));
+  call.end(body);
+}
+
+function readStream(
+  state: LoadState,
+  stream: { call: ClientRequest; response: IncomingMessage; sentMs: number },
+): void {
+  let isFirst = true;
+  let isFinished = false;
+  stream.response.setEncoding("latin1");
+  stream.response.on("data", (text: string) => {
+    const nowMs = readMs();
+    for (const match of text.matchAll(TOKEN)) {
+      const emittedMs = Number(match[1]);
+      if (isFirst) {
+        recordMs(state.firstTokens, nowMs - stream.sentMs);
+      } else {
+        recordMs(state.tokenDelays, nowMs - emittedMs);
+      }
+      isFirst = false;
+      noteToken(state, nowMs);
+    }
+    isFinished ||= FINISH.test(text);
+  });
+  stream.response.on("error", () => {});
+  stream.response.on("close", () => endStream(state, stream.call, isFinished));
+}
+
+function noteToken(state: LoadState, nowMs: number): void {
+  const second = Math.floor((nowMs - state.startMs) / MS_PER_SECOND);
+  state.tokens += 1;
+  state.bySecond[second] = (state.bySecond[second] ?? 0) + 1;
+}
+
+function endStream(state: LoadState, call: ClientRequest, isFinished: boolean): void {
+  if (!state.open.delete(call) || state.isStopped) {
+    return;
+  }
+  state.finished += isFinished ? 1 : 0;
+  state.failed += isFinished ? 0 : 1;
+}
+
+function recordMs(histogram: Histogram, ms: number): void {
+  histogram.recordValue(Math.max(1, Math.round(ms * US_PER_MS)));
+}
+
+function computePercentiles(histogram: Histogram): Percentiles {
+  const read = (percent: number) => histogram.getValueAtPercentile(percent) / US_PER_MS;
+  return { p50: read(50), p95: read(95), p99: read(99) };
+}
+
+/** Median of the busiest half of the seconds, which leaves the ramp at both ends out. */
+function computeSteadyRate(bySecond: readonly number[]): number {
+  const sorted = [...bySecond].map((count) => count ?? 0).sort((left, right) => right - left);
+  return sorted[Math.floor(sorted.length / 4)] ?? 0;
+}
+
+async function runLoad(order: LoadOrder): Promise<LoadResult> {
+  const state: LoadState = {
+    order,
+    firstTokens: createHistogram(),
+    tokenDelays: createHistogram(),
+    open: new Set(),
+    bySecond: [],
+    startMs: readMs(),
+    tokens: 0,
+    finished: 0,
+    failed: 0,
+    isStopped: false,
+  };
+  let started = 0;
+  const isDue = () => {
+    const elapsedMs = readMs() - state.startMs;
+    return order.requestsPerSecond === 0 ||
+      started < elapsedMs * order.requestsPerSecond / MS_PER_SECOND;
+  };
+  while (started < order.requests || state.open.size > 0) {
+    while (started < order.requests && isDue()) {
+      started += 1;
+      openStream(state);
+    }
+    await new Promise((resolve) => setTimeout(resolve, 1));
+    if (order.stopAfterMs > 0 && readMs() - state.startMs > order.stopAfterMs) {
+      break;
+    }
+  }
+  state.isStopped = true;
+  return {
+    tokens: state.tokens,
+    finished: state.finished,
+    failed: state.failed,
+    tokensPerSecond: computeSteadyRate(state.bySecond),
+    firstTokenMs: computePercentiles(state.firstTokens),
+    tokenMs: computePercentiles(state.tokenDelays),
+  };
+}
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+parentPort?.on("message", async (message: LoadOrder | "closeStreams" | "collectGarbage") => {
+  if (message === "closeStreams") {
+    agent.destroy();
+    return;
+  }
+  if (message === "collectGarbage") {
+    collectGarbage();
+    return;
+  }
+  parentPort?.postMessage(await runLoad(message));
+});
--- /dev/null
+++ b/bench/src/relay/source_settings.ts
@@ -0,0 +1,4 @@
+/** What the source worker is given. */
+export interface SourceSettings {
+  readonly apiKey: string;
+}
--- /dev/null
+++ b/bench/src/relay/start_relay_fixture.ts
@@ -0,0 +1,72 @@
+import { createProcessDaemon, resolveDaemonConfig } from "@crocussail/daemon";
+import { once } from "node:events";
+import { Worker } from "node:worker_threads";
+import type { LoadOrder } from "./load_order.ts";
+import type { LoadResult } from "./load_result.ts";
+
+/** A daemon on this thread, with its engine and its load on threads of their own. */
+export interface RelayFixture {
+  readonly daemonUrl: string;
+  readonly engineUrl: string;
+  readonly apiKey: string;
+  runLoad(order: LoadOrder): Promise<LoadResult>;
+  /** Drops the streams that a stopped load has left open. */
+  closeStreams(): void;
+  /** Collects garbage on the threads of the engine and the load. */
+  collectGarbage(): void;
+  close(): Promise<void>;
+}
+
+const API_KEY = "relay-bench-key";
+const LOG_LEVEL_ERROR = 0;
+
+/** Starts the daemon, the engine and the load. */
+export async function startRelayFixture(): Promise<RelayFixture> {
+  const source = new Worker(new URL("./token_source_worker.js", import.meta.url), {
+    workerData: { apiKey: API_KEY },
+  });
+  const load = new Worker(new URL("./load_worker.js", import.meta.url));
+  const [{ engineUrl, settingsUrl }] = await once(source, "message");
+  const text = formatSettings(settingsUrl);
+  const config = resolveDaemonConfig({ file: "bench.ini", text }).unsafeCoerce();
+  const daemon = createProcessDaemon(config, { logLevel: LOG_LEVEL_ERROR });
+  const ports = await daemon.start();
+  return {
+    daemonUrl: `http://127.0.0.1:${ports.caller}`,
+    engineUrl,
+    apiKey: API_KEY,
+    runLoad: async (order) => {
+      load.postMessage(order);
+      const [result] = await once(load, "message");
+      return result;
+    },
+    closeStreams: () => load.postMessage("closeStreams"),
+    collectGarbage: () => [source, load].forEach((worker) => worker.postMessage("collectGarbage")),
+    close: async () => {
+      await daemon.stop();
+      await Promise.all([source.terminate(), load.terminate()]);
+    },
+  };
+}
+
+function formatSettings(settingsUrl: string): string {
+  return `[host]
+name = host-1
+data_centre = toledo
+
+[listen]
+address = 127.0.0.1
+caller_port = 0
+peer_port = 0
+operator_port = 0
+
+[settings_service]
+urls = ${settingsUrl}
+
+[fleet]
+key = relay-bench-fleet-key-for-one-machine
+
+[operator]
+token = relay-bench-operator-token
+`;
+}
--- /dev/null
+++ b/bench/src/relay/token_source_worker.ts
@@ -0,0 +1,107 @@
+/**
+ * Worker of the relay measurement: an engine that emits tokens at a fixed gap and the settings
+ * service that publishes it. Each token's text is its time of emission.
+ * @module
+ */
+import { createSettingsService } from "@crocussail/stand_ins";
+import { createHash } from "node:crypto";
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { parentPort, workerData } from "node:worker_threads";
+import type { SourceSettings } from "./source_settings.ts";
+
+interface Emission {
+  readonly id: string;
+  readonly length: number;
+  readonly gapMs: number;
+  readonly response: ServerResponse;
+  index: number;
+  nextMs: number;
+}
+
+const TICK_MS = 1;
+const NS_PER_MS = 1e6;
+const settings = workerData as SourceSettings;
+const running = new Set<Emission>();
+
+const readMs = () => Number(process.hrtime.bigint()) / NS_PER_MS;
+
+function sendToken(emission: Emission): void {
+  const { id, response, index } = emission;
+  if (index === emission.length) {
+    response.end(`data: {"generation":"${id}","index":${index},"finish":"stop"}\n\n`);
+    running.delete(emission);
+    return;
+  }
+  const token = readMs().toFixed(3);
+  response.write(`data: {"generation":"${id}","index":${index},"token":"${token} "}\n\n`);
+  emission.index += 1;
+  emission.nextMs += emission.gapMs;
+}
+
+function sendDueTokens(): void {
+  const nowMs = readMs();
+  for (const emission of running) {
+    if (emission.nextMs <= nowMs) {
+      sendToken(emission);
+    }
+  }
+}
+
+/** The prompt carries the gap: `gap <ms>`. */
+function startEmission(body: string, response: ServerResponse): void {
+  const request = JSON.parse(body) as { generation: string; prompt: string; max_tokens: number };
+  const gapMs = Number(/^gap (\d+)/.exec(request.prompt)?.[1] ?? 0);
+  response.writeHead(200, { "content-type": "text/event-stream" });
+  const emission: Emission = {
+    id: request.generation,
+    length: request.max_tokens,
+    gapMs,
+    response,
+    index: 0,
+    nextMs: readMs() + gapMs,
+  };
+  sendToken(emission);
+  running.add(emission);
+  response.on("close", () => running.delete(emission));
+}
+
+function handleRequest(request: IncomingMessage, response: ServerResponse): void {
+  if (request.method !== "POST") {
+    request.resume();
+    const load = { running: running.size, waiting: 0, used_tokens: 0, capacity_tokens: 1e9 };
+    const report = { ...load, preemptions: 0, leaving: false, models: ["plan-70b"] };
+    response.end(request.url === "/v1/load" ? JSON.stringify(report) : "");
+    return;
+  }
+  let body = "";
+  request.setEncoding("utf8");
+  request.on("data", (chunk) => body += chunk);
+  request.on("end", () => startEmission(body, response));
+}
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+parentPort?.on("message", collectGarbage);
+
+const engine = createServer(handleRequest);
+engine.listen(0, "127.0.0.1", async () => {
+  const engineUrl = `http://127.0.0.1:${(engine.address() as AddressInfo).port}`;
+  const sha256 = createHash("sha256").update(settings.apiKey).digest("hex");
+  const service = await createSettingsService({
+    values: {
+      "models/plan-70b": "version = 1\n",
+      "upstreams/plan-1": `kind = engine\nurl = ${engineUrl}\ndata_centre = toledo\n` +
+        `models = plan-70b\ncapacity_tokens = 1000000000\nmax_batch = 100000\n`,
+      "teams/planners/access": "models = plan-70b\nmax_streams = 100000\n",
+      "teams/planners/kinds": "[default]\nurgency = 0\ndeadline_ms = 600000\n",
+      "teams/planners/keys": `[bench]\nsha256 = ${sha256}\n`,
+    },
+  });
+  setInterval(sendDueTokens, TICK_MS);
+  parentPort?.postMessage({ engineUrl, settingsUrl: service.url });
+});
--- a/packages/daemon/src/adapters/http_engine_defaults.ts
+++ b/packages/daemon/src/adapters/http_engine_defaults.ts
@@ -5,6 +5,8 @@
   headersTimeoutMs: 10_000,
   /** Time for a whole cancel call. */
   cancelTimeoutMs: 2_000,
+  /** Time in which an engine ends its response after a finish event. */
+  endTimeoutMs: 1_000,
   /** Size of one event in UTF-16 units; a larger one is a fault of the link. */
   maxEventLength: 65_536,
   /** Events waiting for the relay; at the bound the connection is not read until they are taken. */
--- a/packages/daemon/src/adapters/open_engine_stream.ts
+++ b/packages/daemon/src/adapters/open_engine_stream.ts
@@ -24,6 +24,8 @@
 type OpenedStream = Either<ResultError, EngineStream>;
 
 const OK = 200;
+/** One error for all closes: its stack trace would cost more than the close. */
+const CLOSED = new Error("stream closed by the relay");
 
 /** Sends a request to an engine and returns its event stream once the status line is there. */
 export function openEngineStream(options: OpenEngineStreamOptions): Promise<OpenedStream> {
@@ -47,7 +49,21 @@
   const decoder = new StringDecoder("utf8");
   let controller: Dispatcher.DispatchController | undefined;
   let rest = "";
-  const closeSource = () => controller?.abort(new Error("stream closed by the relay"));
+  let isFinished = false;
+  let isEnded = false;
+  const abort = () => {
+    if (!isEnded) {
+      controller?.abort(CLOSED);
+    }
+  };
+  /** After a finish the engine ends the response itself, and the connection can serve again. */
+  const closeSource = () => {
+    if (isFinished && !isEnded) {
+      setTimeout(abort, limits.endTimeoutMs).unref();
+      return;
+    }
+    abort();
+  };
   const queue = createEventQueue({
     maxEvents: limits.maxQueuedEvents,
     pauseSource: () => controller?.pause(),
@@ -64,21 +80,26 @@
         return;
       }
       settle(Left(describeEngineStatus(origin, method, status)));
-      closeSource();
+      abort();
     },
     onResponseData: (_controller, chunk) => {
       const decoded = decodeEngineEvents(rest + decoder.write(chunk), limits.maxEventLength);
       rest = decoded.rest;
       if (decoded.events.length > 0) {
+        isFinished = decoded.events.at(-1)?.finish !== undefined;
         queue.pushEvents(decoded.events);
       }
       if (decoded.isMalformed) {
         queue.end();
-        closeSource();
+        abort();
       }
     },
-    onResponseEnd: () => queue.end(),
+    onResponseEnd: () => {
+      isEnded = true;
+      queue.end();
+    },
     onResponseError: (_controller, error) => {
+      isEnded = true;
       settle(Left(describeEngineFailure(origin, error)));
       queue.end();
     },
