--- /dev/null
+++ b/bench/src/fleet/create_settings_model.ts
@@ -0,0 +1,301 @@
+import {
+  createSeededRandom,
+  createSettingsAgent,
+  createSettingsState,
+  selectSettingsPage,
+} from "@crocussail/daemon";
+import type {
+  SettingsAgent,
+  SettingsEffect,
+  SettingsEvent,
+  SettingsState,
+  SettingsUpdate,
+} from "@crocussail/daemon";
+import { createEventTable } from "./create_event_table.ts";
+
+/** Options of {@link createSettingsModel}. */
+export interface SettingsModelOptions {
+  readonly daemons: number;
+  readonly dataCentres: number;
+  readonly seed: number;
+  /** Share of messages between daemons that are lost. */
+  readonly loss?: number;
+}
+
+/** Decision functions of a whole fleet on one clock, with a fake of the settings service. */
+export interface SettingsModel {
+  readNowMs(): number;
+  advance(ms: number): void;
+  /** Publishes a value and returns its revision. */
+  publish(path: string, text?: string): number;
+  setServiceDown(isDown: boolean): void;
+  /** Freezes what the service shows, or shows everything again. */
+  setServiceStale(isStale: boolean): void;
+  startDaemon(index: number): void;
+  stopDaemon(index: number): void;
+  getState(index: number): SettingsState;
+  isReady(index: number): boolean;
+  /** Time until every running daemon has `revision` of `path` in force, in milliseconds. */
+  measureSpread(path: string, revision: number, boundMs: number): number;
+  /** Largest number of calls to the service within one second since the last reset. */
+  countPeakCalls(): number;
+  resetCalls(): void;
+}
+
+interface ModelDaemon {
+  readonly index: number;
+  readonly agent: SettingsAgent;
+  readonly state: SettingsState;
+  isRunning: boolean;
+  isWatching: boolean;
+}
+
+const TICK_MS = 250;
+const HEARTBEAT_MS = 1_000;
+const SERVICE_MS = 4;
+const PEER_MS = 2;
+const PEER_SPREAD_MS = 40;
+const TIMEOUT_MS = 2_000;
+const RATE_SLOT_MS = 100;
+/** Values published before the first daemon starts. */
+const SEED_VALUES = 20;
+
+/**
+ * Creates a fleet of stopped daemons. A daemon knows the running ones, as a list of hosts would
+ * tell it, as soon as it holds any settings.
+ */
+export function createSettingsModel(options: SettingsModelOptions): SettingsModel {
+  const table = createEventTable();
+  const { nextFloat } = createSeededRandom(options.seed);
+  const changes: SettingsUpdate[] = [];
+  const daemons: (ModelDaemon | undefined)[] = [];
+  const calls = new Map<number, number>();
+  let isDown = false;
+  let shownCount: number | undefined;
+
+  const nameHost = (index: number) => `h${index}`;
+  const nameCentre = (index: number) => `dc${index % options.dataCentres}`;
+  let running: readonly ModelDaemon[] | undefined;
+  const listRunning = () => {
+    running ??= daemons.flatMap((daemon) => daemon?.isRunning ? [daemon] : []);
+    return running;
+  };
+  const findDaemon = (host: string) => daemons[Number(host.slice(1))];
+
+  const listShown = () => changes.slice(0, shownCount ?? changes.length);
+  const readRevision = () => listShown().at(-1)?.revision ?? 0;
+  const listValues = () =>
+    [...new Map(listShown().map((change) => [change.path, change])).values()]
+      .filter((change) => change.text !== undefined);
+  const callService = (answer: () => void, fail: () => void) => {
+    const slot = Math.floor(table.readNowMs() / RATE_SLOT_MS);
+    calls.set(slot, (calls.get(slot) ?? 0) + 1);
+    table.schedule(SERVICE_MS, isDown ? fail : answer);
+  };
+  const publish = (path: string, text?: string): number => {
+    const revision = changes.length + 1;
+    const change = { path, revision, ...(text === undefined ? {} : { text }) };
+    changes.push(change);
+    const watchers = listRunning().filter((daemon) => daemon.isWatching);
+    for (const daemon of shownCount === undefined ? watchers : []) {
+      table.schedule(SERVICE_MS, () => {
+        if (daemon.isWatching) {
+          dispatch(daemon, { type: "watchBatch", batch: { revision, values: [change] } });
+        }
+      });
+    }
+    return revision;
+  };
+  const cutWatches = () => {
+    for (const daemon of listRunning().filter((candidate) => candidate.isWatching)) {
+      daemon.isWatching = false;
+      dispatch(daemon, { type: "watchEnded", detail: "cut", isCompacted: false });
+    }
+  };
+
+  const dispatch = (daemon: ModelDaemon, event: SettingsEvent) => {
+    if (daemon.isRunning) {
+      daemon.agent.applyEvent(event, table.readNowMs())
+        .forEach((effect) => applyEffect(daemon, effect));
+    }
+  };
+  /** Delivers to a peer unless the message is lost or the peer is not the running one. */
+  const deliver = (host: string, run: (peer: ModelDaemon) => void) => {
+    if (nextFloat() >= (options.loss ?? 0)) {
+      table.schedule(PEER_MS + nextFloat() * PEER_SPREAD_MS, () => {
+        const peer = findDaemon(host);
+        if (peer?.isRunning) {
+          run(peer);
+        }
+      });
+    }
+  };
+  const exchange = (
+    daemon: ModelDaemon,
+    host: string,
+    answer: (peer: ModelDaemon) => SettingsEvent,
+    failure: SettingsEvent,
+  ) => {
+    let isSettled = false;
+    const settle = (event: SettingsEvent) => {
+      if (!isSettled) {
+        isSettled = true;
+        dispatch(daemon, event);
+      }
+    };
+    table.schedule(TIMEOUT_MS, () => settle(failure));
+    deliver(host, (peer) => {
+      const event = answer(peer);
+      deliver(nameHost(daemon.index), () => settle(event));
+    });
+  };
+
+  const applyEffect = (daemon: ModelDaemon, effect: SettingsEffect) => {
+    const from = nameHost(daemon.index);
+    switch (effect.type) {
+      case "read":
+        return callService(() => {
+          const batch = { revision: readRevision(), values: listValues() };
+          dispatch(daemon, { type: "readAnswered", batch });
+        }, () => dispatch(daemon, { type: "readFailed", detail: "down" }));
+      case "probe":
+        return callService(
+          () => dispatch(daemon, { type: "probeAnswered", revision: readRevision() }),
+          () => dispatch(daemon, { type: "probeFailed", detail: "down" }),
+        );
+      case "openWatch":
+        return callService(() => {
+          daemon.isWatching = true;
+          const values = listShown().filter((change) => change.revision > effect.after);
+          dispatch(daemon, { type: "watchBatch", batch: { revision: readRevision(), values } });
+        }, () => dispatch(daemon, { type: "watchEnded", detail: "down", isCompacted: false }));
+      case "closeWatch":
+        daemon.isWatching = false;
+        return;
+      case "ask":
+        return exchange(daemon, effect.host, (peer) => ({
+          type: "peerDigest",
+          from: effect.host,
+          digest: peer.agent.buildDigest(table.readNowMs()),
+        }), { type: "askFailed", from: effect.host });
+      case "pull": {
+        const request = {
+          known: daemon.state.getHighestRevision(),
+          buckets: daemon.state.digest.copyBuckets(),
+          after: effect.after,
+        };
+        return exchange(daemon, effect.host, (peer) => ({
+          type: "pageReceived",
+          from: effect.host,
+          page: {
+            digest: peer.agent.buildDigest(table.readNowMs()),
+            ...selectSettingsPage(peer.state, request),
+          },
+        }), { type: "pullFailed", from: effect.host });
+      }
+      case "offer": {
+        const digest = daemon.agent.buildDigest(table.readNowMs());
+        return deliver(
+          effect.host,
+          (peer) => dispatch(peer, { type: "peerDigest", from, digest }),
+        );
+      }
+    }
+  };
+
+  const runTick = (daemon: ModelDaemon) => {
+    if (!daemon.isRunning) {
+      return;
+    }
+    const isListKnown = daemon.state.getRevision() > 0;
+    const live = isListKnown ? listRunning().filter((peer) => peer !== daemon) : [];
+    const centre = nameCentre(daemon.index);
+    const neighbours = live.filter((peer) => nameCentre(peer.index) === centre)
+      .map((peer) => nameHost(peer.index));
+    const peers = live.map((peer) => nameHost(peer.index));
+    dispatch(daemon, { type: "tick", neighbours, peers });
+    table.schedule(TICK_MS, () => runTick(daemon));
+  };
+  /** Heartbeats to the neighbours at distances of powers of two, about log2(n) + 2 of them. */
+  const runHeartbeat = (daemon: ModelDaemon) => {
+    if (!daemon.isRunning) {
+      return;
+    }
+    const from = nameHost(daemon.index);
+    const digest = daemon.agent.buildDigest(table.readNowMs());
+    for (let distance = 1; distance < options.daemons; distance *= 2) {
+      const host = nameHost((daemon.index + distance) % options.daemons);
+      deliver(host, (peer) => dispatch(peer, { type: "peerDigest", from, digest }));
+    }
+    table.schedule(HEARTBEAT_MS, () => runHeartbeat(daemon));
+  };
+
+  for (let index = 0; index < SEED_VALUES; index++) {
+    publish(`models/m${index}`, "version = 1\n");
+  }
+
+  return {
+    readNowMs: table.readNowMs,
+    advance: (ms) => table.runUntil(table.readNowMs() + ms),
+    publish,
+    setServiceDown: (wanted) => {
+      isDown = wanted;
+      cutWatches();
+    },
+    setServiceStale: (isStale) => {
+      shownCount = isStale ? changes.length : undefined;
+      cutWatches();
+    },
+    startDaemon: (index) => {
+      const state = createSettingsState();
+      const agent = createSettingsAgent({
+        host: nameHost(index),
+        dataCentre: nameCentre(index),
+        nowMs: table.readNowMs(),
+        nextFloat,
+        state,
+      });
+      const daemon = { index, agent, state, isRunning: true, isWatching: false };
+      daemons[index] = daemon;
+      running = undefined;
+      table.schedule(nextFloat() * TICK_MS, () => runTick(daemon));
+      table.schedule(nextFloat() * HEARTBEAT_MS, () => runHeartbeat(daemon));
+    },
+    stopDaemon: (index) => {
+      const daemon = daemons[index];
+      if (daemon !== undefined) {
+        daemon.isRunning = false;
+        running = undefined;
+        daemon.isWatching = false;
+      }
+    },
+    getState: (index) => {
+      const daemon = daemons[index];
+      if (daemon === undefined) {
+        throw new Error(`daemon ${index} was never started`);
+      }
+      return daemon.state;
+    },
+    isReady: (index) => daemons[index]?.agent.isReady(table.readNowMs()) ?? false,
+    measureSpread: (path, revision, boundMs) => {
+      const startMs = table.readNowMs();
+      const isInForce = (daemon: ModelDaemon) =>
+        (daemon.state.getEntry(path)?.accepted?.update.revision ?? 0) >= revision;
+      while (!listRunning().every(isInForce) && table.readNowMs() - startMs < boundMs) {
+        table.runUntil(table.readNowMs() + 10);
+      }
+      return listRunning().every(isInForce)
+        ? table.readNowMs() - startMs
+        : Number.POSITIVE_INFINITY;
+    },
+    countPeakCalls: () => {
+      const slots = [...calls.keys()];
+      const slotsPerSecond = 1_000 / RATE_SLOT_MS;
+      const countFrom = (first: number) =>
+        Array.from({ length: slotsPerSecond }, (_, step) => calls.get(first + step) ?? 0)
+          .reduce((sum, count) => sum + count, 0);
+      return Math.max(0, ...slots.map(countFrom));
+    },
+    resetCalls: () => calls.clear(),
+  };
+}
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -1,5 +1,7 @@
 /** The daemon as a library, for the command line, tests and measurements. @module */
 export type { ServiceClient, ServiceRequest, ServiceResponse } from "./adapters/service_client.ts";
+export { createEtcdSettingsSource } from "./adapters/create_etcd_settings_source.ts";
+export type { PublishedBatch, PublishedValue, SettingsSource } from "./adapters/settings_source.ts";
 export { resolveDaemonConfig } from "./config/mod.ts";
 export type { ResolvedDaemonConfig } from "./config/mod.ts";
 export { createDaemon } from "./create_daemon.ts";
@@ -10,5 +12,20 @@
 export { createManualClock } from "./common/create_manual_clock.ts";
 export type { ManualClock } from "./common/create_manual_clock.ts";
 export { createSeededRandom } from "./common/create_seeded_random.ts";
-export { checkSettingsTree, validateSettingsValue } from "./settings/mod.ts";
-export type { SettingsFinding } from "./settings/mod.ts";
+export {
+  checkSettingsTree,
+  createSettingsAgent,
+  createSettingsState,
+  createSettingsView,
+  selectSettingsPage,
+  validateSettingsValue,
+} from "./settings/mod.ts";
+export type {
+  SettingsAgent,
+  SettingsEffect,
+  SettingsEvent,
+  SettingsFinding,
+  SettingsState,
+  SettingsUpdate,
+  SettingsView,
+} from "./settings/mod.ts";
--- a/packages/daemon/src/settings/create_settings_agent.ts
+++ b/packages/daemon/src/settings/create_settings_agent.ts
@@ -36,6 +36,7 @@
   let startedAtMs = options.nowMs;
   let tickedAtMs = options.nowMs;
   let hasAsked = false;
+  let hasCaughtUp = false;
   let serviceRevision = 0;
   let behindSinceMs: number | undefined;
   let isBehindReported = false;
@@ -156,6 +157,7 @@
     if (nowMs - tickedAtMs >= SETTINGS_LIMITS.pauseMs) {
       startedAtMs = nowMs;
       hasAsked = false;
+      hasCaughtUp = false;
       sync.resetQuestions();
       const fields = { pausedMs: Math.round(nowMs - tickedAtMs) };
       effects.push({ type: "log", event: "settingsDistrusted", fields });
@@ -172,12 +174,12 @@
       ...reader.decideCalls({ nowMs, neighbours: event.neighbours, hasPeers, confirmedAtMs }),
     ];
   };
-  const isReady = (nowMs: number): boolean => {
-    if (state.getRevision() === 0) {
-      return false;
-    }
-    return nowMs - startedAtMs >= SETTINGS_LIMITS.startupBoundMs ||
-      (hasAsked && sync.isCaughtUp(state.digest.getHash()));
+  const isReady = (nowMs: number): boolean =>
+    state.getRevision() > 0 &&
+    (hasCaughtUp || nowMs - startedAtMs >= SETTINGS_LIMITS.startupBoundMs);
+  /** Stays set until the next pause: later differences are ordinary traffic. */
+  const observeCatchUp = () => {
+    hasCaughtUp ||= hasAsked && sync.isCaughtUp(state.digest.getHash());
   };
 
   const applyEvent = (event: SettingsEvent, nowMs: number): SettingsEffect[] => {
@@ -218,7 +220,11 @@
   };
 
   return {
-    applyEvent,
+    applyEvent: (event, nowMs) => {
+      const effects = applyEvent(event, nowMs);
+      observeCatchUp();
+      return effects;
+    },
     buildDigest,
     isReady,
     dumpState: (nowMs) => ({
--- a/packages/daemon/src/settings/service_reader_state.ts
+++ b/packages/daemon/src/settings/service_reader_state.ts
@@ -55,7 +55,19 @@
   let watchRevision = 0;
   let lagging = 0;
   let calls = 0;
+  let ranked: { candidates: string; isWatcher: boolean } | undefined;
 
+  /** Ranks the neighbours only when their list has changed. */
+  const isWatcher = (neighbours: readonly string[]): boolean => {
+    const candidates = neighbours.join("\n");
+    if (ranked?.candidates !== candidates) {
+      const key = `settings-watch/${options.dataCentre}`;
+      const order = rankByRendezvous(key, [...new Set([...neighbours, options.host])]);
+      const first = order.slice(0, SETTINGS_LIMITS.watchersPerDataCentre);
+      ranked = { candidates, isWatcher: first.includes(options.host) };
+    }
+    return ranked.isWatcher;
+  };
   const tryCall = (nowMs: number): boolean => {
     if (nowMs < nextAttemptAtMs || !bucket.tryTake(nowMs)) {
       return false;
@@ -102,11 +114,7 @@
       if (readAtMs === undefined && hasPeers && nowMs < startAtMs) {
         return [];
       }
-      const candidates = [...new Set([...neighbours, options.host])];
-      const ranked = rankByRendezvous(`settings-watch/${options.dataCentre}`, candidates);
-      const isWatcher = ranked.slice(0, SETTINGS_LIMITS.watchersPerDataCentre)
-        .includes(options.host);
-      if (isWatcher) {
+      if (isWatcher(neighbours)) {
         const stalled: SettingsEffect[] = isWatching && lagging >= STALLED_PROBES
           ? [{ type: "closeWatch" }]
           : [];
--- /dev/null
+++ b/packages/local_fleet/src/settings_fleet_test.ts
@@ -0,0 +1,83 @@
+import { stateDumpSchema } from "@crocussail/protocol";
+import { expect } from "chai";
+import { request } from "undici";
+import { createLocalFleet } from "./create_local_fleet.ts";
+import type { LocalFleet } from "./create_local_fleet.ts";
+
+interface SettingsDump {
+  readonly hash: string;
+  readonly revision: number;
+  readonly isReady: boolean;
+  readonly service: { readonly isWatching: boolean; readonly behindBy: number };
+  readonly paths: Record<string, { acceptedRevision: number; rejection?: unknown } | undefined>;
+}
+
+const DAEMONS = 8;
+const POLL_MS = 20;
+const PATH = "models/plan-70b";
+
+describe("settings of 8 daemons over sockets", () => {
+  let fleet: LocalFleet;
+
+  before(async () => {
+    fleet = await createLocalFleet({ hosts: DAEMONS });
+  });
+  after(() => fleet.close());
+
+  const fetchDumps = () =>
+    Promise.all(fleet.daemons.map(async ({ ports }) => {
+      const answer = await request(`http://127.0.0.1:${ports.operator}/state`, {
+        headers: { authorization: `Bearer ${fleet.operatorToken}` },
+      });
+      const { slices } = stateDumpSchema.parse(await answer.body.json());
+      return slices["settings"] as SettingsDump;
+    }));
+  /** Polls until a condition holds on every daemon; mocha's own timeout bounds it. */
+  const waitForAll = async (isDone: (dump: SettingsDump) => boolean) => {
+    let dumps = await fetchDumps();
+    while (!dumps.every(isDone)) {
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+      dumps = await fetchDumps();
+    }
+    return dumps;
+  };
+  const isInForce = (revision: number) => (dump: SettingsDump) =>
+    dump.paths[PATH]?.acceptedRevision === revision;
+
+  it("puts a value in force everywhere, in one map", async () => {
+    const revision = fleet.settingsService.putValue(PATH, "version = 2\nreplicas = 2\n");
+    const dumps = await waitForAll(isInForce(revision));
+    expect(dumps.every((dump) => dump.isReady)).to.equal(true);
+    expect(new Set(dumps.map((dump) => dump.hash)).size).to.equal(1);
+  });
+
+  it("keeps the last accepted value where a newer one is rejected, and shows why", async () => {
+    const accepted = (await fetchDumps())[0]?.paths[PATH]?.acceptedRevision;
+    fleet.settingsService.putValue(PATH, "verson = 3\n");
+    const dumps = await waitForAll((dump) => dump.paths[PATH]?.rejection !== undefined);
+    expect(dumps.map((dump) => dump.paths[PATH]?.acceptedRevision))
+      .to.deep.equal(Array.from({ length: DAEMONS }, () => accepted));
+  });
+
+  it("reads again after the service is down, cut and compacted", async () => {
+    fleet.settingsService.setDown(true);
+    const revision = fleet.settingsService.putValue(PATH, "version = 4\nreplicas = 2\n");
+    fleet.settingsService.compactChanges(revision);
+    fleet.settingsService.setDown(false);
+    await waitForAll(isInForce(revision));
+  });
+
+  it("ignores a service restored to an earlier revision until it has passed the fleet's", async () => {
+    const [before] = await fetchDumps();
+    const held = before?.revision ?? 0;
+    fleet.settingsService.restoreRevision(held - 2);
+    await waitForAll((dump) => dump.service.behindBy > 0 || !dump.service.isWatching);
+    expect((await fetchDumps()).every(isInForce(held))).to.equal(true);
+    const republished = "version = 5\nreplicas = 2\n";
+    while (fleet.settingsService.putValue(PATH, republished) <= held) {
+      continue;
+    }
+    const dumps = await waitForAll((dump) => (dump.paths[PATH]?.acceptedRevision ?? 0) > held);
+    expect(new Set(dumps.map((dump) => dump.hash)).size).to.equal(1);
+  });
+});
