Let the load tool resume a stream that stalls

Cause: a stream through a paused daemon showed a gap of 4,460 ms, since the caller waited for it. Conclusion: the callers' guide should advise it.

--- a/packages/cli/src/load/constants.ts
+++ b/packages/cli/src/load/constants.ts
@@ -11,5 +11,6 @@
   maxTokens: 256,
   seed: 1,
   resumeShare: 0.1,
+  stallMs: 5_000,
   deadlineMs: 60_000,
 } as const;
--- a/packages/cli/src/load/load_command.ts
+++ b/packages/cli/src/load/load_command.ts
@@ -58,6 +58,9 @@
   resumeShare = Option.String("--resume-share", String(LOAD_DEFAULTS.resumeShare), {
     description: "Share of streams dropped once and resumed at another host",
   });
+  stallMs = Option.String("--stall-ms", String(LOAD_DEFAULTS.stallMs), {
+    description: "Milliseconds without a byte after which a stream is resumed elsewhere",
+  });
   deadlineMs = Option.String("--deadline-ms", String(LOAD_DEFAULTS.deadlineMs), {
     description: "Time after which an answer counts as late",
   });
--- a/packages/cli/src/load/resolve_load_plan.ts
+++ b/packages/cli/src/load/resolve_load_plan.ts
@@ -23,6 +23,7 @@
   maxTokens: z.coerce.number().int().min(1).max(100_000),
   seed: z.coerce.number().int(),
   resumeShare: z.coerce.number().min(0).max(1),
+  stallMs: z.coerce.number().positive(),
   deadlineMs: z.coerce.number().positive(),
 });
 
--- a/packages/cli/src/load/send_chat.ts
+++ b/packages/cli/src/load/send_chat.ts
@@ -72,7 +72,7 @@
   const authorization = `Bearer ${plan.apiKey}`;
   if (attempt.lastId !== undefined) {
     const headers = { authorization, "last-event-id": attempt.lastId };
-    return request(`${url}/v1/streams/resume`, { headers, bodyTimeout: 0 });
+    return request(`${url}/v1/streams/resume`, { headers, bodyTimeout: plan.stallMs });
   }
   return request(`${url}/v1/chat/completions`, {
     method: "POST",
@@ -87,7 +87,7 @@
       max_tokens: plan.maxTokens,
       stream: true,
     }),
-    bodyTimeout: 0,
+    bodyTimeout: plan.stallMs,
   });
 }
 
--- a/playground/src/run_load_process.ts
+++ b/playground/src/run_load_process.ts
@@ -10,7 +10,16 @@
 }
 
 const ARGS = ["--model", "plan-70b", "--kind", "plan", "--concurrency", "24"];
-const BOUNDS = ["--requests", "600", "--seconds", "8", "--resume-share", "0.2"];
+const BOUNDS = [
+  "--requests",
+  "600",
+  "--seconds",
+  "8",
+  "--resume-share",
+  "0.2",
+  "--stall-ms",
+  "1000",
+];
 const MIX = ["--mix", "chat=6,order=3,read=1"];
 
 /** Runs `crocussail load` as a process of its own. */
