Check adapters and versions of the model that a caller names

Cause: access.adapters and access.versions were published but not enforced, and no caller could name an adapter. Conclusion: which engine holds an adapter is placement's to tell admission.

--- a/packages/daemon/src/adapters/create_http_engine_client.ts
+++ b/packages/daemon/src/adapters/create_http_engine_client.ts
@@ -63,6 +63,7 @@
   return JSON.stringify({
     generation: request.generation,
     model: request.model,
+    ...(request.adapter === undefined ? {} : { adapter: request.adapter }),
     prompt: request.prompt,
     priority: request.priority,
     ...(request.maxTokens === undefined ? {} : { max_tokens: request.maxTokens }),
--- a/packages/daemon/src/adapters/engine_client.ts
+++ b/packages/daemon/src/adapters/engine_client.ts
@@ -7,6 +7,8 @@
   /** Id chosen by the caller of this interface; unique for each placement. */
   readonly generation: string;
   readonly model: string;
+  /** Adapter of the model to run with. */
+  readonly adapter?: string;
   readonly prompt: string;
   readonly maxTokens?: number;
   /** 0 is the most urgent. */
--- a/packages/daemon/src/generations/create_generation_handler.ts
+++ b/packages/daemon/src/generations/create_generation_handler.ts
@@ -11,6 +11,7 @@
 import type { GenerationApi, GenerationRequest } from "./generation_request.ts";
 import type { GenerationServices } from "./generation_services.ts";
 import { parseGenerationRequest } from "./parse_generation_request.ts";
+import { resolveModelTarget } from "./resolve_model_target.ts";
 import { serveGeneration } from "./serve_generation.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -32,9 +33,13 @@
     }
     const request = parsed.extract() as GenerationRequest;
     const fingerprint = digestRequest(team.name, request);
-    const refusal = checkRequest(team, request, quarantine.isQuarantined(fingerprint));
-    if (refusal !== undefined) {
-      return sendProblem(reply, refusal);
+    const target = resolveModelTarget(request.model, team, settings);
+    if (target.isLeft()) {
+      return sendProblem(reply, target.extract() as ResultError);
+    }
+    if (quarantine.isQuarantined(fingerprint)) {
+      const detail = "this request crashed upstreams before and was not run again";
+      return sendProblem(reply, createResultError("requestQuarantined", detail));
     }
     const slot = slots.takeSlot(team.name, team.access.maxStreams);
     if (slot.isLeft()) {
@@ -48,7 +53,16 @@
     try {
       await serveGeneration(
         services,
-        { requestId, team, kind, request, writer, fingerprint, deadlineMs },
+        {
+          requestId,
+          team,
+          kind,
+          request,
+          target: target.unsafeCoerce(),
+          writer,
+          fingerprint,
+          deadlineMs,
+        },
       );
     } finally {
       slot.unsafeCoerce()();
@@ -57,22 +71,6 @@
   };
 }
 
-function checkRequest(
-  team: TeamSettings,
-  request: GenerationRequest,
-  isQuarantined: boolean,
-): ResultError | undefined {
-  if (!team.access.models.includes(request.model)) {
-    const detail = `team "${team.name}" may not use model "${request.model}"`;
-    return createResultError("forbidden", detail);
-  }
-  if (isQuarantined) {
-    const detail = "this request crashed upstreams before and was not run again";
-    return createResultError("requestQuarantined", detail);
-  }
-  return undefined;
-}
-
 function createWriter(
   services: GenerationServices,
   request: GenerationRequest,
--- a/packages/daemon/src/generations/serve_generation.ts
+++ b/packages/daemon/src/generations/serve_generation.ts
@@ -12,6 +12,7 @@
 import type { FailedPlacement } from "./failed_placement.ts";
 import type { GenerationRequest } from "./generation_request.ts";
 import type { GenerationServices } from "./generation_services.ts";
+import type { ModelTarget } from "./model_target.ts";
 import { mergeRan } from "./merge_ran.ts";
 import { relayRun } from "./relay_run.ts";
 import { refillRetryBudget } from "./retry_budget_state.ts";
@@ -24,6 +25,7 @@
   readonly team: TeamSettings;
   readonly kind: string;
   readonly request: GenerationRequest;
+  readonly target: ModelTarget;
   readonly writer: AnswerWriter;
   /** Identity of the request for the quarantine. */
   readonly fingerprint: string;
@@ -84,12 +86,12 @@
   options: ServeOptions,
   excluded: ReadonlySet<string>,
 ): Promise<AdmissionGrant | ResultError> {
-  const { request, team, writer } = options;
+  const { request, target, team, writer } = options;
   const granted = await services.admission.requestGrant({
     requestId: options.requestId,
     team: team.name,
     kind: options.kind,
-    model: request.model,
+    model: target.model,
     promptTokens: request.promptTokens,
     ...(request.maxTokens === undefined ? {} : { maxTokens: request.maxTokens }),
     deadlineMs: options.deadlineMs,
@@ -115,12 +117,12 @@
   grant: AdmissionGrant,
 ): Promise<FailedPlacement | undefined> {
   const { context, limits, engine } = services;
-  const { request, team, writer, requestId } = options;
+  const { request, target, team, writer, requestId } = options;
   const generation = context.random.nextHex(limits.generationIdBytes);
   const { upstream, url } = grant;
   const started = await engine.startGeneration(url, {
     generation,
-    model: request.model,
+    ...target,
     prompt: request.prompt,
     ...(request.maxTokens === undefined ? {} : { maxTokens: request.maxTokens }),
     priority: team.kinds[options.kind]?.urgency ?? limits.urgency,
--- a/packages/daemon/src/generations/serve_generation_test.ts
+++ b/packages/daemon/src/generations/serve_generation_test.ts
@@ -45,6 +45,7 @@
     team: { name: "planners", kinds: {} } as TeamSettings,
     kind: "plan",
     request: { api: "chat", model: "plan-70b", prompt: "Plan", promptTokens: 1, isStream: true },
+    target: { model: "plan-70b" },
     writer,
     fingerprint: FINGERPRINT,
     deadlineMs: setup.deadlineMs ?? 60_000,
