Model the fake engine as a step model on an injected clock

The stand-in engine produced tokens by a timer for each generation, so it knew no batch, no memory and no preemption.

--- a/packages/stand_ins/src/engine/create_engine.ts
+++ b/packages/stand_ins/src/engine/create_engine.ts
@@ -1,13 +1,18 @@
 import fastify from "fastify";
 import type { FastifyReply } from "fastify";
+import { createHash } from "node:crypto";
 import { startLoopbackServer } from "../start_loopback_server.ts";
 import type { StandInServer } from "../stand_in_server.ts";
+import { createEngineModel } from "./create_engine_model.ts";
 import type { EngineEvent } from "./engine_event.ts";
+import type { EngineModelOptions } from "./engine_model_options.ts";
 
-/** Fake model engine: starts, resumes and cancels generations over server-sent events. */
+/** Fake model engine: serves the engine model over HTTP and server-sent events. */
 export interface Engine extends StandInServer {
   /** Ids of the generations started, in order. */
   listGenerations(): readonly string[];
+  /** Refuses new generations from now on; running ones go on. */
+  startLeaving(): void;
 }
 
 /** Options of {@link createEngine}. */
@@ -19,35 +24,95 @@
   /** Tokens of an answer when the request does not cap them. */
   readonly answerTokens?: number;
   readonly port?: number;
+  /** Replaces parts of the engine's shape and speed. */
+  readonly model?: Partial<EngineModelOptions>;
 }
 
 interface Generation {
   readonly id: string;
   readonly events: EngineEvent[];
   readonly listeners: Set<(event: EngineEvent) => void>;
-  timer?: ReturnType<typeof setInterval>;
 }
 
 interface GenerationRequest {
   readonly generation: string;
   readonly prompt: string;
   readonly max_tokens?: number;
+  readonly priority?: number;
 }
 
 const DEFAULT_TOKEN_MS = 5;
 const DEFAULT_ANSWER_TOKENS = 12;
 const DEFAULT_CAPACITY_TOKENS = 100_000;
+const DEFAULT_MAX_BATCH = 256;
+const DEFAULT_PRIORITY = 5;
+const TOKEN_CHARACTERS = 4;
+const PREFIX_CHARACTERS = 1_024;
 
 /** Starts a fake engine. */
 export async function createEngine(options: EngineOptions): Promise<Engine> {
   const generations = new Map<string, Generation>();
   const server = fastify();
+  let timer: ReturnType<typeof setTimeout> | undefined;
+
+  const publishEvent = (generation: Generation, event: EngineEvent) => {
+    generation.events.push(event);
+    for (const listener of generation.listeners) {
+      listener(event);
+    }
+  };
+  const model = createEngineModel(resolveModelOptions(options), {
+    addTokens: ({ id, firstIndex, count }) => {
+      const generation = generations.get(id);
+      for (
+        let index = firstIndex;
+        generation !== undefined && index < firstIndex + count;
+        index++
+      ) {
+        publishEvent(generation, { generation: id, index, token: `token${index} ` });
+      }
+    },
+    finishJob: (id) => {
+      const generation = generations.get(id);
+      if (generation !== undefined) {
+        const index = generation.events.length;
+        publishEvent(generation, { generation: id, index, finish: "stop" });
+      }
+    },
+    pauseJob: () => {},
+  });
+  const scheduleStep = () => {
+    clearTimeout(timer);
+    const nextMs = model.readNextStepMs();
+    if (nextMs !== undefined) {
+      timer = setTimeout(runStep, Math.max(0, nextMs - performance.now()));
+    }
+  };
+  const runStep = () => {
+    model.advanceTo(performance.now());
+    scheduleStep();
+  };
 
   server.post("/v1/generations", (request, reply) => {
     const body = request.body as GenerationRequest;
-    const generation = startGeneration(body, options);
+    const generation = { id: body.generation, events: [], listeners: new Set<never>() };
+    const promptTokens = Math.ceil(body.prompt.length / TOKEN_CHARACTERS);
+    const isAccepted = model.submitJob({
+      id: body.generation,
+      promptTokens,
+      outputTokens: Math.min(
+        body.max_tokens ?? Number.POSITIVE_INFINITY,
+        options.answerTokens ?? DEFAULT_ANSWER_TOKENS,
+      ),
+      priority: body.priority ?? DEFAULT_PRIORITY,
+      prefix: { key: hashPrefix(body.prompt), tokens: promptTokens },
+    }, performance.now());
+    if (!isAccepted) {
+      return reply.code(503).send({ error: "leaving or too small" });
+    }
     generations.set(generation.id, generation);
     streamEvents(reply, generation, 0);
+    scheduleStep();
   });
   server.get<{ Params: { id: string }; Querystring: { from?: string } }>(
     "/v1/generations/:id/events",
@@ -60,62 +125,52 @@
     },
   );
   server.delete<{ Params: { id: string } }>("/v1/generations/:id", (request, reply) => {
-    stopGeneration(generations.get(request.params.id));
+    model.cancelJob(request.params.id);
+    scheduleStep();
     return reply.code(204).send();
   });
   server.get("/v1/load", () => {
-    const running = [...generations.values()].filter((generation) =>
-      generation.timer !== undefined
-    );
+    const report = model.readLoad(performance.now());
     return {
-      running: running.length,
-      waiting: 0,
-      used_tokens: running.reduce((sum, generation) => sum + generation.events.length, 0),
-      capacity_tokens: options.capacityTokens ?? DEFAULT_CAPACITY_TOKENS,
-      preemptions: 0,
-      leaving: false,
+      running: report.running,
+      waiting: report.waiting,
+      used_tokens: report.usedTokens,
+      capacity_tokens: report.capacityTokens,
+      preemptions: report.preemptions,
+      leaving: report.leaving,
       models: options.models,
     };
   });
+  server.get<{ Querystring: { after?: string } }>("/v1/cache-events", (request) => ({
+    events: model.listCacheEvents(Number(request.query.after ?? 0)),
+  }));
 
   const started = await startLoopbackServer(server, options.port);
   const close = async () => {
-    for (const generation of generations.values()) {
-      stopGeneration(generation);
-    }
+    clearTimeout(timer);
+    model.stopAtOnce();
     await started.close();
   };
-  return { ...started, close, listGenerations: () => [...generations.keys()] };
+  const listGenerations = () => [...generations.keys()];
+  return { ...started, close, listGenerations, startLeaving: model.startLeaving };
 }
 
-function startGeneration(request: GenerationRequest, options: EngineOptions): Generation {
-  const generation: Generation = { id: request.generation, events: [], listeners: new Set() };
-  const length = Math.min(
-    request.max_tokens ?? Number.POSITIVE_INFINITY,
-    options.answerTokens ?? DEFAULT_ANSWER_TOKENS,
-  );
-  const addEvent = () => {
-    const index = generation.events.length;
-    const event: EngineEvent = index < length
-      ? { generation: generation.id, index, token: `token${index} ` }
-      : { generation: generation.id, index, finish: "stop" };
-    generation.events.push(event);
-    if ("finish" in event) {
-      stopGeneration(generation);
-    }
-    for (const listener of generation.listeners) {
-      listener(event);
-    }
+function resolveModelOptions(options: EngineOptions): EngineModelOptions {
+  return {
+    capacityTokens: options.capacityTokens ?? DEFAULT_CAPACITY_TOKENS,
+    maxBatch: DEFAULT_MAX_BATCH,
+    baseStepMs: options.tokenMs ?? DEFAULT_TOKEN_MS,
+    sequenceStepMs: 0,
+    prefillTokenMs: 0,
+    speed: 1,
+    reportLagMs: 0,
+    prefixCacheTokens: DEFAULT_CAPACITY_TOKENS,
+    ...options.model,
   };
-  generation.timer = setInterval(addEvent, options.tokenMs ?? DEFAULT_TOKEN_MS);
-  return generation;
 }
 
-function stopGeneration(generation: Generation | undefined): void {
-  if (generation?.timer !== undefined) {
-    clearInterval(generation.timer);
-    delete generation.timer;
-  }
+function hashPrefix(prompt: string): string {
+  return createHash("sha256").update(prompt.slice(0, PREFIX_CHARACTERS)).digest("hex");
 }
 
 function streamEvents(reply: FastifyReply, generation: Generation, from: number): void {
--- /dev/null
+++ b/packages/stand_ins/src/engine/create_engine_model.ts
@@ -0,0 +1,258 @@
+import { createPrefixCache } from "./create_prefix_cache.ts";
+import type { PrefixCacheEvent } from "./create_prefix_cache.ts";
+import type { EngineJob } from "./engine_job.ts";
+import type { EngineLoadReport } from "./engine_load_report.ts";
+import type { EngineModelOptions } from "./engine_model_options.ts";
+import type { EngineSink } from "./engine_sink.ts";
+
+/**
+ * Step model of an engine with continuous batching, block memory, preemption by recompute and a
+ * prefix cache. It reads no clock: time passes only by {@link EngineModel.advanceTo}.
+ */
+export interface EngineModel {
+  /** Hands in a job; false when the engine is leaving, dead or too small for it. */
+  submitJob(job: EngineJob, nowMs: number): boolean;
+  cancelJob(id: string): void;
+  /** Runs every step that ends by `nowMs`. */
+  advanceTo(nowMs: number): void;
+  /** End of the next step, or undefined when idle. */
+  readNextStepMs(): number | undefined;
+  /** End of the steps until something other than a plain token happens. */
+  readNextWakeMs(): number | undefined;
+  /** Refuses new jobs; running ones go on. */
+  startLeaving(): void;
+  /** Drops every job without a word. */
+  stopAtOnce(): void;
+  /** Newest report that is at least the report lag old. */
+  readLoad(nowMs: number): EngineLoadReport;
+  listCacheEvents(after: number): readonly PrefixCacheEvent[];
+}
+
+interface Sequence {
+  readonly job: EngineJob;
+  readonly submittedMs: number;
+  produced: number;
+  prefillLeft: number;
+  blocks: number;
+}
+
+interface StepPlan {
+  readonly steps: number;
+  readonly stepMs: number;
+  /** The sequence whose prompt is computed in this step, and its share. */
+  readonly prefill?: { readonly sequence: Sequence; readonly tokens: number };
+}
+
+const BLOCK_TOKENS = 16;
+const PREFILL_CHUNK_TOKENS = 512;
+const MAX_STEPS_AT_ONCE = 4_096;
+const SNAPSHOT_MS = 200;
+const ROUNDING_MS = 1e-6;
+
+/** Creates an engine model. */
+export function createEngineModel(options: EngineModelOptions, sink: EngineSink): EngineModel {
+  const totalBlocks = Math.floor(options.capacityTokens / BLOCK_TOKENS);
+  const cache = createPrefixCache(options.prefixCacheTokens);
+  let running: Sequence[] = [];
+  let waiting: Sequence[] = [];
+  let freeBlocks = totalBlocks;
+  let timeMs = 0;
+  let preemptions = 0;
+  let isLeaving = false;
+  let isDead = false;
+  let plan: StepPlan | undefined;
+  let snapshots: { atMs: number; report: EngineLoadReport }[] = [];
+
+  const countBlocks = (tokens: number) => Math.ceil(tokens / BLOCK_TOKENS);
+  const isMoreUrgent = (left: Sequence, right: Sequence) =>
+    left.job.priority - right.job.priority || left.submittedMs - right.submittedMs;
+
+  const admitWaiting = () => {
+    waiting.sort(isMoreUrgent);
+    for (const sequence of [...waiting]) {
+      const blocks = countBlocks(sequence.job.promptTokens + sequence.produced + 1);
+      if (sequence.submittedMs > timeMs) {
+        continue;
+      }
+      if (running.length >= options.maxBatch || blocks > freeBlocks) {
+        return;
+      }
+      const { prefix, promptTokens } = sequence.job;
+      const cached = prefix === undefined ? 0 : cache.touchPrefix(prefix.key, prefix.tokens);
+      sequence.prefillLeft = promptTokens + sequence.produced - cached;
+      sequence.blocks = blocks;
+      freeBlocks -= blocks;
+      running.push(sequence);
+      waiting.splice(waiting.indexOf(sequence), 1);
+    }
+  };
+
+  const pauseLeastUrgent = (): Sequence | undefined => {
+    const victim = running.reduce<Sequence | undefined>(
+      (worst, each) => worst === undefined || isMoreUrgent(worst, each) <= 0 ? each : worst,
+      undefined,
+    );
+    if (victim === undefined) {
+      return undefined;
+    }
+    running.splice(running.indexOf(victim), 1);
+    freeBlocks += victim.blocks;
+    victim.blocks = 0;
+    waiting.push(victim);
+    preemptions += 1;
+    sink.pauseJob(victim.job.id, timeMs);
+    return victim;
+  };
+
+  /** Takes the blocks that the next token of every decoding sequence needs. */
+  const reserveBlocks = () => {
+    for (const sequence of [...running]) {
+      const needed = countBlocks(sequence.job.promptTokens + sequence.produced + 1);
+      while (needed - sequence.blocks > freeBlocks && running.includes(sequence)) {
+        pauseLeastUrgent();
+      }
+      if (running.includes(sequence) && needed > sequence.blocks) {
+        freeBlocks -= needed - sequence.blocks;
+        sequence.blocks = needed;
+      }
+    }
+  };
+
+  const planStep = (): StepPlan | undefined => {
+    const startable = waiting.reduce((least, each) => Math.min(least, each.submittedMs), Infinity);
+    if (running.length === 0) {
+      timeMs = startable === Infinity ? timeMs : Math.max(timeMs, startable);
+    }
+    reserveBlocks();
+    admitWaiting();
+    if (running.length === 0) {
+      return undefined;
+    }
+    const decodeMs = options.baseStepMs + options.sequenceStepMs * running.length;
+    const sequence = running.find((each) => each.prefillLeft > 0);
+    if (sequence !== undefined) {
+      const tokens = Math.min(sequence.prefillLeft, PREFILL_CHUNK_TOKENS);
+      const stepMs = (decodeMs + tokens * options.prefillTokenMs) / options.speed;
+      return { steps: 1, stepMs, prefill: { sequence, tokens } };
+    }
+    const stepMs = decodeMs / options.speed;
+    const blocksEach = Math.floor(freeBlocks / running.length);
+    const untilMemory = blocksEach === 0 ? 1 : blocksEach * BLOCK_TOKENS;
+    const untilArrival = startable > timeMs && startable !== Infinity
+      ? Math.ceil((startable - timeMs) / stepMs)
+      : MAX_STEPS_AT_ONCE;
+    const untilFinish = running.reduce(
+      (least, each) => Math.min(least, each.job.outputTokens - each.produced),
+      MAX_STEPS_AT_ONCE,
+    );
+    return { steps: Math.max(1, Math.min(untilMemory, untilArrival, untilFinish)), stepMs };
+  };
+
+  const finishSequences = () => {
+    const finished = running.filter((each) => each.produced >= each.job.outputTokens);
+    if (finished.length === 0) {
+      return;
+    }
+    running = running.filter((each) => each.produced < each.job.outputTokens);
+    for (const sequence of finished) {
+      freeBlocks += sequence.blocks;
+      sink.finishJob(sequence.job.id, timeMs);
+    }
+  };
+
+  const runSteps = (current: StepPlan, steps: number) => {
+    const firstAtMs = timeMs + current.stepMs;
+    const decoding = running.filter((each) => each.prefillLeft === 0);
+    timeMs += steps * current.stepMs;
+    if (current.prefill !== undefined) {
+      current.prefill.sequence.prefillLeft -= current.prefill.tokens;
+    }
+    for (const sequence of decoding) {
+      const blocks = countBlocks(sequence.job.promptTokens + sequence.produced + steps);
+      freeBlocks -= Math.max(0, blocks - sequence.blocks);
+      sequence.blocks = Math.max(sequence.blocks, blocks);
+      const tokens = { id: sequence.job.id, firstIndex: sequence.produced, count: steps };
+      sequence.produced += steps;
+      sink.addTokens({ ...tokens, firstAtMs, stepMs: current.stepMs });
+    }
+    finishSequences();
+  };
+
+  const recordSnapshot = (nowMs: number) => {
+    const last = snapshots.at(-1);
+    if (last !== undefined && nowMs - last.atMs < SNAPSHOT_MS && options.reportLagMs > 0) {
+      return;
+    }
+    const report = {
+      running: running.length,
+      waiting: waiting.length,
+      usedTokens: (totalBlocks - freeBlocks) * BLOCK_TOKENS,
+      capacityTokens: options.capacityTokens,
+      preemptions,
+      leaving: isLeaving,
+    };
+    snapshots.push({ atMs: nowMs, report });
+    const newest = snapshots.findLastIndex((each) => each.atMs <= nowMs - options.reportLagMs);
+    snapshots = snapshots.slice(Math.max(0, newest));
+  };
+
+  return {
+    submitJob: (job, nowMs) => {
+      const needed = job.promptTokens + job.outputTokens;
+      if (isLeaving || isDead || needed > options.capacityTokens) {
+        return false;
+      }
+      timeMs = running.length + waiting.length === 0 ? Math.max(timeMs, nowMs) : timeMs;
+      waiting.push({ job, submittedMs: nowMs, produced: 0, prefillLeft: 0, blocks: 0 });
+      plan = undefined;
+      return true;
+    },
+    cancelJob: (id) => {
+      const sequence = running.find((each) => each.job.id === id);
+      freeBlocks += sequence?.blocks ?? 0;
+      running = running.filter((each) => each !== sequence);
+      waiting = waiting.filter((each) => each.job.id !== id);
+      plan = undefined;
+    },
+    advanceTo: (nowMs) => {
+      for (;;) {
+        plan ??= planStep();
+        const available = plan === undefined
+          ? 0
+          : Math.floor((nowMs - timeMs + ROUNDING_MS) / plan.stepMs);
+        if (plan === undefined || available < 1) {
+          break;
+        }
+        const steps = Math.min(plan.steps, available);
+        const current = plan;
+        plan = undefined;
+        runSteps(current, steps);
+      }
+      recordSnapshot(nowMs);
+    },
+    readNextStepMs: () => {
+      plan ??= planStep();
+      return plan === undefined ? undefined : timeMs + plan.stepMs;
+    },
+    readNextWakeMs: () => {
+      plan ??= planStep();
+      return plan === undefined ? undefined : timeMs + plan.steps * plan.stepMs;
+    },
+    startLeaving: () => {
+      isLeaving = true;
+    },
+    stopAtOnce: () => {
+      isDead = true;
+      running = [];
+      waiting = [];
+      freeBlocks = totalBlocks;
+      plan = undefined;
+    },
+    readLoad: (nowMs) => {
+      recordSnapshot(nowMs);
+      const known = snapshots.findLast((each) => each.atMs <= nowMs - options.reportLagMs);
+      return (known ?? snapshots[0] as { report: EngineLoadReport }).report;
+    },
+    listCacheEvents: (after) => cache.listEvents(after),
+  };
+}
--- /dev/null
+++ b/packages/stand_ins/src/engine/create_prefix_cache.ts
@@ -0,0 +1,58 @@
+/** One change of a prefix cache. */
+export interface PrefixCacheEvent {
+  /** Counts up by one for each event. */
+  readonly sequence: number;
+  readonly type: "stored" | "removed";
+  readonly prefix: string;
+}
+
+/** Least-recently-used cache of prompt prefixes with a log of its changes. */
+export interface PrefixCache {
+  /** Returns the cached tokens of a prefix, then keeps the prefix as the latest used. */
+  touchPrefix(key: string, tokens: number): number;
+  /** Returns the remembered events after a sequence number; older ones are dropped at the bound. */
+  listEvents(after: number): readonly PrefixCacheEvent[];
+}
+
+const MAX_EVENTS = 1_000;
+
+/** Creates a prefix cache of `capacityTokens`; the oldest prefixes are removed at the bound. */
+export function createPrefixCache(capacityTokens: number): PrefixCache {
+  const entries = new Map<string, number>();
+  const events: PrefixCacheEvent[] = [];
+  let usedTokens = 0;
+  let sequence = 0;
+
+  const recordEvent = (type: PrefixCacheEvent["type"], prefix: string) => {
+    sequence += 1;
+    events.push({ sequence, type, prefix });
+    if (events.length > MAX_EVENTS) {
+      events.shift();
+    }
+  };
+
+  return {
+    touchPrefix: (key, tokens) => {
+      const cached = entries.get(key) ?? 0;
+      entries.delete(key);
+      if (tokens > capacityTokens) {
+        return 0;
+      }
+      entries.set(key, tokens);
+      usedTokens += tokens - cached;
+      if (cached === 0) {
+        recordEvent("stored", key);
+      }
+      for (const [oldest, oldestTokens] of entries) {
+        if (usedTokens <= capacityTokens) {
+          break;
+        }
+        entries.delete(oldest);
+        usedTokens -= oldestTokens;
+        recordEvent("removed", oldest);
+      }
+      return Math.min(cached, tokens);
+    },
+    listEvents: (after) => events.filter((event) => event.sequence > after),
+  };
+}
