--- /dev/null
+++ b/packages/daemon/src/admission/constants.ts
@@ -0,0 +1,60 @@
+/** Bounds and defaults of the admission slice. */
+export const ADMISSION_LIMITS = {
+  /** Length histograms kept; the least recently used is dropped. */
+  maxHistograms: 512,
+  /** Time in which an observed length loses half its weight. */
+  lengthHalfLifeMs: 1_800_000,
+  /** Observations that a broader histogram counts for in a narrower one. */
+  fallbackWeight: 8,
+  /** Entries waiting at one owner; at the bound the least urgent is refused. */
+  maxQueued: 512,
+  /** Generations that one owner tracks; further grants are refused. */
+  maxRunning: 1_024,
+  /** Queue places that one request holds at once. */
+  maxPlaces: 3,
+  /** Waiting time that raises an entry by one urgency class. */
+  agingMs: 30_000,
+  /** Entries with less than this share of their time left go before the others of their class. */
+  criticalSlackShare: 0.25,
+  /** Urgency classes up to this one count as urgent. */
+  urgentClass: 2,
+  /** Share of the memory that only urgent entries may use. */
+  urgentMemoryShare: 0.04,
+  /** Batch slots that only urgent entries may use. */
+  urgentSlots: 2,
+  /** Time for which an urgent kind counts as present after its last request. */
+  urgentPresenceMs: 60_000,
+  /** Standard deviations added to the projected memory. */
+  projectionDeviations: 0.75,
+  /** Share of a token gap target that the batch limit aims at. */
+  gapTargetShare: 0.9,
+  /** Token gap assumed before any was observed. */
+  defaultGapMs: 30,
+  /** Delay to the first token assumed before any was observed. */
+  defaultFirstTokenMs: 200,
+  /** Share of the predicted rest that must fit before the deadline. */
+  optimisticRestShare: 0.25,
+  /** Lower and upper bound of advised delays before another try. */
+  minRetryAfterMs: 1_000,
+  maxRetryAfterMs: 120_000,
+  /** Life of a grant that its entry daemon does not renew. */
+  grantLeaseMs: 15_000,
+  /** Time in which served tokens lose half their weight in fairness. */
+  serviceHalfLifeMs: 120_000,
+  /** Teams whose service is remembered; the least served is forgotten. */
+  maxTeams: 4_096,
+  /** Prefixes remembered; the least recently used is dropped. */
+  maxPrefixes: 8_192,
+  /** Upstreams remembered for one prefix. */
+  maxPrefixHolders: 8,
+  /** Life of a prefix placement that no cache event confirms. */
+  prefixTtlMs: 300_000,
+  /** Pairs of upstream and kind whose speed is remembered. */
+  maxSpeeds: 8_192,
+  /** Retries that the budget holds at most. */
+  maxRetryBudget: 20,
+  /** Life of a sign that an upstream is leaving. */
+  leavingTtlMs: 600_000,
+  /** Upstreams remembered as leaving; the oldest sign is dropped. */
+  maxLeaving: 4_096,
+} as const;
--- /dev/null
+++ b/packages/daemon/src/admission/create_gap_model.ts
@@ -0,0 +1,57 @@
+import { ADMISSION_LIMITS } from "./constants.ts";
+
+/** Learns the token gap of one upstream as a line over its batch size. */
+export interface GapModel {
+  /** Records a mean token gap seen while `batch` generations ran. */
+  noteGap(batch: number, gapMs: number): void;
+  estimateGapMs(batch: number): number;
+  /** Largest batch, up to `maxBatch`, whose gap stays within `targetMs`; at least 1. */
+  computeBatchLimit(targetMs: number, maxBatch: number): number;
+}
+
+const DECAY = 0.995;
+const MIN_SPREAD = 0.5;
+const MIN_SAMPLES = 3;
+
+/** Creates a gap model by least squares with fading weights. */
+export function createGapModel(): GapModel {
+  let weight = 0;
+  let batchSum = 0;
+  let gapSum = 0;
+  let squareSum = 0;
+  let productSum = 0;
+
+  const fitLine = () => {
+    if (weight < MIN_SAMPLES) {
+      return { base: ADMISSION_LIMITS.defaultGapMs, slope: 0 };
+    }
+    const meanBatch = batchSum / weight;
+    const meanGap = gapSum / weight;
+    const spread = squareSum / weight - meanBatch ** 2;
+    const slope = spread < MIN_SPREAD
+      ? 0
+      : Math.max(0, (productSum / weight - meanBatch * meanGap) / spread);
+    return { base: Math.max(0, meanGap - slope * meanBatch), slope };
+  };
+
+  return {
+    noteGap: (batch, gapMs) => {
+      weight = weight * DECAY + 1;
+      batchSum = batchSum * DECAY + batch;
+      gapSum = gapSum * DECAY + gapMs;
+      squareSum = squareSum * DECAY + batch * batch;
+      productSum = productSum * DECAY + batch * gapMs;
+    },
+    estimateGapMs: (batch) => {
+      const { base, slope } = fitLine();
+      return Math.max(1, base + slope * batch);
+    },
+    computeBatchLimit: (targetMs, maxBatch) => {
+      const { base, slope } = fitLine();
+      if (slope === 0) {
+        return maxBatch;
+      }
+      return Math.max(1, Math.min(maxBatch, Math.floor((targetMs - base) / slope)));
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/admission/create_speed_table.ts
@@ -0,0 +1,35 @@
+import { ADMISSION_LIMITS } from "./constants.ts";
+
+/** Learned speed of each upstream for each kind of work. */
+export interface SpeedTable {
+  noteFirstToken(upstream: string, kind: string, delayMs: number): void;
+  noteGap(upstream: string, kind: string, gapMs: number): void;
+  estimateFirstTokenMs(upstream: string, kind: string): number;
+  estimateGapMs(upstream: string, kind: string): number;
+}
+
+const NEW_SHARE = 0.1;
+
+/** Creates the table; at its bound the pair noted longest ago is forgotten. */
+export function createSpeedTable(): SpeedTable {
+  const firstTokens = new Map<string, number>();
+  const gaps = new Map<string, number>();
+  const noteValue = (table: Map<string, number>, key: string, value: number) => {
+    const known = table.get(key);
+    table.delete(key);
+    table.set(key, known === undefined ? value : known + NEW_SHARE * (value - known));
+    if (table.size > ADMISSION_LIMITS.maxSpeeds) {
+      table.delete(table.keys().next().value as string);
+    }
+  };
+  const formatKey = (upstream: string, kind: string) => JSON.stringify([upstream, kind]);
+  return {
+    noteFirstToken: (upstream, kind, delayMs) =>
+      noteValue(firstTokens, formatKey(upstream, kind), delayMs),
+    noteGap: (upstream, kind, gapMs) => noteValue(gaps, formatKey(upstream, kind), gapMs),
+    estimateFirstTokenMs: (upstream, kind) =>
+      firstTokens.get(formatKey(upstream, kind)) ?? ADMISSION_LIMITS.defaultFirstTokenMs,
+    estimateGapMs: (upstream, kind) =>
+      gaps.get(formatKey(upstream, kind)) ?? ADMISSION_LIMITS.defaultGapMs,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/admission/decide_owner.ts
@@ -0,0 +1,273 @@
+import { ADMISSION_LIMITS } from "./constants.ts";
+import { estimateWaitMs } from "./estimate_wait_ms.ts";
+import { advanceHeadroom } from "./headroom_state.ts";
+import { MEMORY_PROJECTION } from "./memory_projection.ts";
+import type { MemoryShare } from "./memory_projection.ts";
+import type { OwnerEffect, RefusalReason } from "./owner_effect.ts";
+import type { OwnerEvent } from "./owner_event.ts";
+import type { OwnerState, RunningGeneration } from "./owner_state.ts";
+import type { QueueEntry } from "./queue_entry.ts";
+import { rankQueue } from "./rank_queue.ts";
+
+/** Changes the state of an upstream's owner by one event; returns what to tell entry daemons. */
+export function decideOwner(state: OwnerState, event: OwnerEvent, nowMs: number): OwnerEffect[] {
+  switch (event.type) {
+    case "ask":
+      return decideAsk(state, event.entry, nowMs);
+    case "withdraw":
+      state.queue.delete(event.id);
+      return [];
+    case "tokens":
+      noteTokens(state, event.id, event.produced, nowMs);
+      return [];
+    case "adopt":
+      restoreGrant(state, event.entry, event.produced, nowMs);
+      return [];
+    case "release":
+      releaseGrant(state, event.id, event.produced, nowMs);
+      return grantQueued(state, nowMs);
+    case "report":
+      return decideReport(state, event.report, nowMs);
+    case "leave":
+      state.isLeaving = true;
+      return [...state.queue.values()].map((entry) => refuseEntry(state, entry, "leaving", 0));
+    case "return":
+      state.isLeaving = false;
+      return [];
+    case "tick":
+      return decideTick(state, nowMs);
+  }
+}
+
+function decideAsk(state: OwnerState, entry: QueueEntry, nowMs: number): OwnerEffect[] {
+  if (state.running.has(entry.id)) {
+    return [{ type: "grant", id: entry.id }];
+  }
+  if (state.isLeaving) {
+    return [refuseEntry(state, entry, "leaving", 0)];
+  }
+  if (!state.isGated) {
+    startGrant(state, entry, 0, nowMs);
+    return [{ type: "grant", id: entry.id }];
+  }
+  if (entry.promptTokens >= state.capacityTokens) {
+    return [refuseEntry(state, entry, "tooLarge", ADMISSION_LIMITS.maxRetryAfterMs)];
+  }
+  if (entry.urgency <= ADMISSION_LIMITS.urgentClass) {
+    state.urgentSeenMs = nowMs;
+  }
+  state.queue.set(entry.id, state.queue.get(entry.id) ?? entry);
+  const effects = [...grantQueued(state, nowMs), ...shedOverflow(state, nowMs)];
+  if (!state.queue.has(entry.id)) {
+    return effects;
+  }
+  const position = rankQueue(state.queue.values(), state.service, nowMs)
+    .findIndex((queued) => queued.id === entry.id);
+  const expectedWaitMs = estimateWaitMs(state, position);
+  const lateByMs = computeLatenessMs(state, entry, expectedWaitMs, nowMs);
+  return lateByMs > 0
+    ? [...effects, refuseEntry(state, entry, "late", lateByMs)]
+    : [...effects, { type: "place", id: entry.id, position, expectedWaitMs }];
+}
+
+/** Time by which even a favourably short answer would miss the deadline; 0 or less is in time. */
+function computeLatenessMs(
+  state: OwnerState,
+  entry: QueueEntry,
+  waitMs: number,
+  nowMs: number,
+): number {
+  const rest = state.predictor.predictRest({ ...entry, produced: 0 });
+  const gapMs = state.gaps.estimateGapMs(state.running.size + 1);
+  const serviceMs = rest * ADMISSION_LIMITS.optimisticRestShare * gapMs;
+  return nowMs + waitMs + serviceMs - entry.deadlineMs;
+}
+
+function refuseEntry(
+  state: OwnerState,
+  entry: QueueEntry,
+  reason: RefusalReason,
+  delayMs: number,
+): OwnerEffect {
+  state.queue.delete(entry.id);
+  const { minRetryAfterMs, maxRetryAfterMs } = ADMISSION_LIMITS;
+  const retryAfterMs = Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, delayMs)));
+  return { type: "refuse", id: entry.id, reason, retryAfterMs };
+}
+
+function shedOverflow(state: OwnerState, nowMs: number): OwnerEffect[] {
+  if (state.queue.size <= ADMISSION_LIMITS.maxQueued) {
+    return [];
+  }
+  const ranked = rankQueue(state.queue.values(), state.service, nowMs);
+  return ranked.slice(ADMISSION_LIMITS.maxQueued)
+    .map((entry) => refuseEntry(state, entry, "full", estimateWaitMs(state, ranked.length)));
+}
+
+function grantQueued(state: OwnerState, nowMs: number): OwnerEffect[] {
+  if (state.queue.size === 0 || state.isLeaving) {
+    return [];
+  }
+  const effects: OwnerEffect[] = [];
+  const sums = MEMORY_PROJECTION.sumShares(state.running.values());
+  for (const entry of rankQueue(state.queue.values(), state.service, nowMs)) {
+    const share = projectEntry(state, entry, 0);
+    if (
+      !isFitting(
+        state,
+        entry,
+        nowMs,
+        (deviations) => MEMORY_PROJECTION.projectPeak(sums, share, deviations),
+      )
+    ) {
+      break;
+    }
+    state.queue.delete(entry.id);
+    startGrant(state, entry, 0, nowMs);
+    MEMORY_PROJECTION.addShare(sums, share);
+    effects.push({ type: "grant", id: entry.id });
+  }
+  return effects;
+}
+
+function isFitting(
+  state: OwnerState,
+  entry: QueueEntry,
+  nowMs: number,
+  projectPeak: (deviations: number) => number,
+): boolean {
+  const isUrgent = entry.urgency <= ADMISSION_LIMITS.urgentClass;
+  const hasUrgent = nowMs - state.urgentSeenMs < ADMISSION_LIMITS.urgentPresenceMs;
+  const isReserved = hasUrgent && !isUrgent;
+  const slots = computeBatchLimit(state, entry) - (isReserved ? ADMISSION_LIMITS.urgentSlots : 0);
+  if (state.running.size >= Math.max(1, slots)) {
+    return false;
+  }
+  const reserved = isReserved ? ADMISSION_LIMITS.urgentMemoryShare : 0;
+  const usable = state.capacityTokens * (1 - state.headroom.share - reserved) - state.foreignTokens;
+  return state.running.size === 0 || projectPeak(ADMISSION_LIMITS.projectionDeviations) <= usable;
+}
+
+function computeBatchLimit(state: OwnerState, entry: QueueEntry): number {
+  let targetMs = entry.tokenGapMs;
+  for (const running of state.running.values()) {
+    targetMs = Math.min(targetMs, running.entry.tokenGapMs);
+  }
+  const limit = state.gaps.computeBatchLimit(
+    targetMs * ADMISSION_LIMITS.gapTargetShare,
+    state.maxBatch,
+  );
+  return Math.min(limit, ADMISSION_LIMITS.maxRunning);
+}
+
+function projectEntry(state: OwnerState, entry: QueueEntry, produced: number): MemoryShare {
+  const question = { ...entry, produced };
+  const survival = state.predictor.predictSurvival(question, MEMORY_PROJECTION.horizons);
+  return { heldTokens: entry.promptTokens + produced, survival };
+}
+
+function startGrant(state: OwnerState, entry: QueueEntry, produced: number, nowMs: number): void {
+  state.running.set(entry.id, {
+    ...projectEntry(state, entry, produced),
+    entry,
+    produced,
+    restTokens: state.predictor.predictRest({ ...entry, produced }),
+    notedMs: nowMs,
+    leaseUntilMs: nowMs + ADMISSION_LIMITS.grantLeaseMs,
+  });
+  state.service.noteServed(entry.team, entry.promptTokens, nowMs);
+}
+
+function noteTokens(state: OwnerState, id: string, produced: number, nowMs: number): void {
+  const running = state.running.get(id);
+  if (running === undefined || produced < running.produced) {
+    return;
+  }
+  const fresh = produced - running.produced;
+  if (fresh > 0 && running.produced > 0) {
+    state.gaps.noteGap(state.running.size, (nowMs - running.notedMs) / fresh);
+  }
+  state.service.noteServed(running.entry.team, fresh, nowMs);
+  state.running.set(id, {
+    ...running,
+    ...projectEntry(state, running.entry, produced),
+    produced,
+    restTokens: state.predictor.predictRest({ ...running.entry, produced }),
+    notedMs: fresh > 0 ? nowMs : running.notedMs,
+    leaseUntilMs: nowMs + ADMISSION_LIMITS.grantLeaseMs,
+  });
+}
+
+function restoreGrant(state: OwnerState, entry: QueueEntry, produced: number, nowMs: number): void {
+  if (state.running.has(entry.id) || state.running.size >= ADMISSION_LIMITS.maxRunning) {
+    return;
+  }
+  state.queue.delete(entry.id);
+  startGrant(state, entry, produced, nowMs);
+  const held = entry.promptTokens + produced;
+  state.foreignTokens = Math.max(0, state.foreignTokens - held);
+}
+
+function releaseGrant(
+  state: OwnerState,
+  id: string,
+  produced: number | undefined,
+  nowMs: number,
+): void {
+  const running = state.running.get(id);
+  if (running === undefined) {
+    return;
+  }
+  state.running.delete(id);
+  if (produced !== undefined) {
+    state.predictor.noteLength(running.entry, produced, nowMs);
+    const fresh = Math.max(0, produced - running.produced);
+    state.service.noteServed(running.entry.team, fresh, nowMs);
+  }
+}
+
+function decideReport(
+  state: OwnerState,
+  report: RunningReport,
+  nowMs: number,
+): OwnerEffect[] {
+  const previous = state.report;
+  state.report = report;
+  if (previous === undefined) {
+    state.foreignTokens = Math.max(0, report.usedTokens - computeHeld(state.running.values()));
+  } else {
+    state.foreignTokens = Math.min(state.foreignTokens, report.usedTokens);
+  }
+  const preempted = report.preemptions - (previous?.preemptions ?? report.preemptions);
+  if (preempted > 0) {
+    const event = { type: "preempted", count: preempted } as const;
+    state.headroom = advanceHeadroom(state.headroom, event, nowMs);
+  }
+  if (report.leaving) {
+    return decideOwner(state, { type: "leave" }, nowMs);
+  }
+  return grantQueued(state, nowMs);
+}
+
+type RunningReport = NonNullable<OwnerState["report"]>;
+
+function computeHeld(running: Iterable<RunningGeneration>): number {
+  let sum = 0;
+  for (const { heldTokens } of running) {
+    sum += heldTokens;
+  }
+  return sum;
+}
+
+function decideTick(state: OwnerState, nowMs: number): OwnerEffect[] {
+  state.headroom = advanceHeadroom(state.headroom, { type: "tick" }, nowMs);
+  for (const [id, running] of state.running) {
+    if (running.leaseUntilMs <= nowMs) {
+      state.running.delete(id);
+    }
+  }
+  const expired = [...state.queue.values()]
+    .filter((entry) => computeLatenessMs(state, entry, 0, nowMs) > 0)
+    .map((entry) => refuseEntry(state, entry, "late", estimateWaitMs(state, state.queue.size)));
+  return [...expired, ...grantQueued(state, nowMs)];
+}
--- /dev/null
+++ b/packages/daemon/src/admission/headroom_state.ts
@@ -0,0 +1,40 @@
+/** Share of an engine's memory that admission leaves free. */
+export interface HeadroomState {
+  readonly share: number;
+  /** Time of the last change. */
+  readonly changedMs: number;
+}
+
+/** What the headroom reacts to. */
+export type HeadroomEvent =
+  | { readonly type: "preempted"; readonly count: number }
+  | { readonly type: "gapRaised" }
+  | { readonly type: "tick" };
+
+const MIN_SHARE = 0.02;
+const MAX_SHARE = 0.4;
+const PREEMPTION_STEP = 0.03;
+const GAP_STEP = 0.01;
+const QUIET_FACTOR = 0.9;
+const QUIET_MS = 10_000;
+const MAX_COUNTED_PREEMPTIONS = 3;
+
+/**
+ * Changes the headroom: preemptions and raised token gaps add to it, each quiet period takes a
+ * tenth of it away.
+ */
+export function advanceHeadroom(
+  state: HeadroomState,
+  event: HeadroomEvent,
+  nowMs: number,
+): HeadroomState {
+  if (event.type === "tick") {
+    return nowMs - state.changedMs < QUIET_MS
+      ? state
+      : { share: Math.max(MIN_SHARE, state.share * QUIET_FACTOR), changedMs: nowMs };
+  }
+  const step = event.type === "preempted"
+    ? PREEMPTION_STEP * Math.min(event.count, MAX_COUNTED_PREEMPTIONS)
+    : GAP_STEP;
+  return { share: Math.min(MAX_SHARE, state.share + step), changedMs: nowMs };
+}
--- /dev/null
+++ b/packages/daemon/src/admission/load_report.ts
@@ -0,0 +1,10 @@
+/** Load of an engine as it reports it, some time ago. */
+export interface LoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  readonly usedTokens: number;
+  readonly capacityTokens: number;
+  /** Preemptions since the engine started. */
+  readonly preemptions: number;
+  readonly leaving: boolean;
+}
--- /dev/null
+++ b/packages/daemon/src/admission/policy.ts
@@ -0,0 +1,22 @@
+/** Decisions of admission and routing without I/O, for the measurements. @module */
+export type { Candidate, CandidateScore } from "./candidate.ts";
+export { ADMISSION_LIMITS } from "./constants.ts";
+export { createFixedPredictor } from "./create_fixed_predictor.ts";
+export { createLengthPredictor } from "./create_length_predictor.ts";
+export { createPrefixIndex } from "./create_prefix_index.ts";
+export type { CacheEvent, PrefixIndex } from "./create_prefix_index.ts";
+export { createSpeedTable } from "./create_speed_table.ts";
+export type { SpeedTable } from "./create_speed_table.ts";
+export { decideOwner } from "./decide_owner.ts";
+export { estimateWaitMs } from "./estimate_wait_ms.ts";
+export type { LengthPredictor } from "./length_predictor.ts";
+export type { LoadReport } from "./load_report.ts";
+export type { OwnerEffect } from "./owner_effect.ts";
+export type { OwnerEvent } from "./owner_event.ts";
+export { createOwnerState } from "./owner_state.ts";
+export type { OwnerState } from "./owner_state.ts";
+export type { QueueEntry } from "./queue_entry.ts";
+export { rankCandidates } from "./rank_candidates.ts";
+export { scoreExpectedTime } from "./score_expected_time.ts";
+export { scoreInFlight } from "./score_in_flight.ts";
+export { scoreRoundRobin } from "./score_round_robin.ts";
