--- /dev/null
+++ b/bench/src/policy/create_bench_upstreams.ts
@@ -0,0 +1,49 @@
+import { createOwnerState } from "@crocussail/daemon/policy";
+import { createEngineModel } from "@crocussail/stand_ins";
+import type { EngineSink } from "@crocussail/stand_ins";
+import type { BenchUpstream } from "./bench_upstream.ts";
+import { ENGINE_SHAPE } from "./engine_shape.ts";
+import type { RunOptions } from "./run_options.ts";
+
+/** Creates the engines of a scenario, each with an owner that follows the run's policy. */
+export function createBenchUpstreams(
+  options: RunOptions,
+  createSink: (name: string) => EngineSink,
+): BenchUpstream[] {
+  return options.scenario.groups.flatMap((group, groupIndex) =>
+    group.speeds.map((speed, index) => {
+      const name = `${group.model}-${index + 1}`;
+      const capacityTokens = group.capacities[index] as number;
+      const model = createEngineModel({
+        capacityTokens,
+        maxBatch: ENGINE_SHAPE.maxBatch,
+        baseStepMs: ENGINE_SHAPE.baseStepMs,
+        sequenceStepMs: ENGINE_SHAPE.sequenceStepMs,
+        prefillTokenMs: ENGINE_SHAPE.prefillTokenMs,
+        speed,
+        reportLagMs: options.fault === "stale" ? ENGINE_SHAPE.staleLagMs : ENGINE_SHAPE.freshLagMs,
+        prefixCacheTokens: capacityTokens * ENGINE_SHAPE.prefixCacheShare,
+      }, createSink(name));
+      const owner = createOwnerState({
+        upstream: name,
+        maxBatch: ENGINE_SHAPE.maxBatch,
+        capacityTokens,
+        predictor: options.policy.createPredictor(),
+        isGated: options.policy.isGated,
+        nowMs: 0,
+      });
+      return {
+        name,
+        group: groupIndex,
+        model,
+        owner,
+        flights: new Map(),
+        wakeVersion: 0,
+        waitMs: 0,
+        wordMs: 0,
+        choices: 0,
+        leavingMs: Number.POSITIVE_INFINITY,
+      };
+    })
+  );
+}
--- /dev/null
+++ b/bench/src/policy/create_run_measures.ts
@@ -0,0 +1,172 @@
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import { ENGINE_SHAPE } from "./engine_shape.ts";
+import type { KindFigures } from "./kind_figures.ts";
+import type { KindSpec } from "./scenario.ts";
+import type { TrafficRequest } from "./traffic_request.ts";
+
+/** How a request ended. */
+export type RequestEnd = "finished" | "refused" | "lost";
+
+/** Collects the figures of one run. */
+export interface RunMeasures {
+  noteArrival(request: TrafficRequest): void;
+  noteFirstToken(request: TrafficRequest, waitMs: number, stallMs: number): void;
+  noteGap(request: TrafficRequest, gapMs: number, count: number): void;
+  notePause(request: TrafficRequest): void;
+  notePausedTime(request: TrafficRequest, pausedMs: number): void;
+  noteDuplicate(request: TrafficRequest): void;
+  noteEnd(request: TrafficRequest, end: RequestEnd, atMs: number): void;
+  buildFigures(durationMs: number): KindFigures[];
+  /** Jain's index over the teams' shares of requests answered in time; 1 is even. */
+  computeFairness(): number;
+}
+
+interface KindTally {
+  readonly spec: KindSpec;
+  readonly gaps: Histogram;
+  readonly firstTokens: Histogram;
+  requests: number;
+  inTime: number;
+  late: number;
+  refused: number;
+  lost: number;
+  duplicated: number;
+  gapCount: number;
+  gapsWithin: number;
+  firstWithin: number;
+  stallMs: number;
+  pausedMs: number;
+  firstWaitMs: number;
+  preemptions: number;
+  goodTokens: number;
+}
+
+const FIRST_TOKEN_TARGET_MS = 1_200;
+/** Histograms count in hundredths of a millisecond. */
+const GAP_UNITS = 100;
+const MAX_GAP_UNITS = 100 * 3_600_000;
+const SIGNIFICANT_DIGITS = 3;
+
+/** Creates empty measures. */
+export function createRunMeasures(): RunMeasures {
+  const tallies = new Map<string, KindTally>();
+  const teams = new Map<string, { requests: number; inTime: number }>();
+
+  const getTally = ({ kind }: TrafficRequest): KindTally => {
+    const known = tallies.get(kind.name);
+    const tally = known ?? createTally(kind);
+    tallies.set(kind.name, tally);
+    return tally;
+  };
+
+  return {
+    noteArrival: (request) => {
+      getTally(request).requests += 1;
+      const team = teams.get(request.team) ?? { requests: 0, inTime: 0 };
+      team.requests += 1;
+      teams.set(request.team, team);
+    },
+    noteFirstToken: (request, waitMs, stallMs) => {
+      const tally = getTally(request);
+      tally.firstTokens.recordValue(toUnits(waitMs));
+      tally.firstWithin += waitMs <= FIRST_TOKEN_TARGET_MS ? 1 : 0;
+      tally.firstWaitMs += waitMs;
+      tally.stallMs += stallMs;
+    },
+    noteGap: (request, gapMs, count) => {
+      const tally = getTally(request);
+      tally.gaps.recordValueWithCount(toUnits(gapMs), count);
+      tally.gapCount += count;
+      tally.gapsWithin += gapMs <= ENGINE_SHAPE.tokenGapMs ? count : 0;
+    },
+    notePause: (request) => {
+      getTally(request).preemptions += 1;
+    },
+    notePausedTime: (request, pausedMs) => {
+      const tally = getTally(request);
+      tally.pausedMs += pausedMs;
+      tally.stallMs += pausedMs;
+    },
+    noteDuplicate: (request) => {
+      getTally(request).duplicated += 1;
+    },
+    noteEnd: (request, end, atMs) => {
+      const tally = getTally(request);
+      const isInTime = end === "finished" && atMs <= request.atMs + request.kind.deadlineMs;
+      const column = isInTime ? "inTime" : end === "finished" ? "late" : end;
+      tally[column] += 1;
+      tally.goodTokens += isInTime ? request.outputTokens : 0;
+      const team = teams.get(request.team);
+      if (team !== undefined && isInTime) {
+        team.inTime += 1;
+      }
+    },
+    buildFigures: (durationMs) =>
+      [...tallies.values()].map((tally) => buildKindFigures(tally, durationMs)),
+    computeFairness: () => {
+      const shares = [...teams.values()].map((team) => team.inTime / team.requests);
+      const sum = shares.reduce((total, share) => total + share, 0);
+      const squares = shares.reduce((total, share) => total + share * share, 0);
+      return squares === 0 ? 0 : sum * sum / (shares.length * squares);
+    },
+  };
+}
+
+function createTally(spec: KindSpec): KindTally {
+  const createHistogram = () =>
+    build({
+      highestTrackableValue: MAX_GAP_UNITS,
+      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+    });
+  return {
+    spec,
+    gaps: createHistogram(),
+    firstTokens: createHistogram(),
+    requests: 0,
+    inTime: 0,
+    late: 0,
+    refused: 0,
+    lost: 0,
+    duplicated: 0,
+    gapCount: 0,
+    gapsWithin: 0,
+    firstWithin: 0,
+    stallMs: 0,
+    pausedMs: 0,
+    firstWaitMs: 0,
+    preemptions: 0,
+    goodTokens: 0,
+  };
+}
+
+function buildKindFigures(tally: KindTally, durationMs: number): KindFigures {
+  const readPercentile = (histogram: Histogram, percentile: number) =>
+    histogram.getValueAtPercentile(percentile) / GAP_UNITS;
+  return {
+    kind: tally.spec.name,
+    urgency: tally.spec.urgency,
+    requests: tally.requests,
+    inTime: tally.inTime,
+    late: tally.late,
+    refused: tally.refused,
+    lost: tally.lost,
+    duplicated: tally.duplicated,
+    firstTokenShare: tally.firstWithin / Math.max(1, tally.requests),
+    gapShare: tally.gapsWithin / Math.max(1, tally.gapCount),
+    stallMs: tally.stallMs,
+    pausedMs: tally.pausedMs,
+    firstWaitMs: tally.firstWaitMs,
+    preemptions: tally.preemptions,
+    gapP50: readPercentile(tally.gaps, 50),
+    gapP99: readPercentile(tally.gaps, 99),
+    gapP999: readPercentile(tally.gaps, 99.9),
+    firstTokenP50: readPercentile(tally.firstTokens, 50),
+    firstTokenP99: readPercentile(tally.firstTokens, 99),
+    goodput: 1_000 * tally.goodTokens / durationMs,
+  };
+}
+
+function toUnits(milliseconds: number): number {
+  return Math.max(1, Math.round(milliseconds * GAP_UNITS));
+}
--- /dev/null
+++ b/bench/src/policy/kind_figures.ts
@@ -0,0 +1,32 @@
+/** Figures of one kind of work in one run; times in milliseconds. */
+export interface KindFigures {
+  readonly kind: string;
+  readonly urgency: number;
+  readonly requests: number;
+  readonly inTime: number;
+  readonly late: number;
+  /** Refused, not run. */
+  readonly refused: number;
+  /** Ended by a fault after the first token, or not placed again. */
+  readonly lost: number;
+  /** Tokens or finishes that came twice. */
+  readonly duplicated: number;
+  /** Share of the requests with the first token within 1.2 s. */
+  readonly firstTokenShare: number;
+  /** Share of the token gaps within 37 ms. */
+  readonly gapShare: number;
+  /** Time granted without producing: before the first token and while preempted. */
+  readonly stallMs: number;
+  /** Part of the stall after the first token. */
+  readonly pausedMs: number;
+  /** Time from the arrival to the first token, all requests together. */
+  readonly firstWaitMs: number;
+  readonly preemptions: number;
+  readonly gapP50: number;
+  readonly gapP99: number;
+  readonly gapP999: number;
+  readonly firstTokenP50: number;
+  readonly firstTokenP99: number;
+  /** Output tokens of the answers in time, per second of the run. */
+  readonly goodput: number;
+}
--- a/packages/daemon/src/admission/create_length_predictor.ts
+++ b/packages/daemon/src/admission/create_length_predictor.ts
@@ -1,7 +1,8 @@
 import { ADMISSION_LIMITS } from "./constants.ts";
-import { LENGTH_HISTOGRAM } from "./length_histogram.ts";
+import { LENGTH_CURVE } from "./length_curve.ts";
+import type { LengthCurve } from "./length_curve.ts";
 import type { LengthKey } from "./length_key.ts";
-import type { LengthPredictor, LengthQuestion } from "./length_predictor.ts";
+import type { LengthPredictor } from "./length_predictor.ts";
 
 interface Histogram {
   readonly weights: number[];
@@ -9,11 +10,12 @@
   updatedMs: number;
 }
 
-/** Share of the cautious prior in each bucket: lengths up to its limit are equally likely by size. */
+/** Cautious prior: lengths up to its limit are equally likely on a logarithmic scale. */
 const PRIOR_LIMIT_TOKENS = 8_192;
-const PRIOR = LENGTH_HISTOGRAM.edges.map((edge) => edge <= PRIOR_LIMIT_TOKENS ? 1 : 0.1);
+const PRIOR = LENGTH_CURVE.edges.map((edge) => edge <= PRIOR_LIMIT_TOKENS ? 1 : 0.1);
 const PRIOR_TOTAL = PRIOR.reduce((sum, weight) => sum + weight, 0);
-const REST_HORIZONS = [0, ...LENGTH_HISTOGRAM.edges];
+/** Share of the produced tokens expected as rest beyond every length on record. */
+const BEYOND_RECORD_SHARE = 0.5;
 
 /**
  * Creates a predictor from decayed histograms by (team, kind, model). A sparse histogram leans on
@@ -22,13 +24,15 @@
  */
 export function createLengthPredictor(): LengthPredictor {
   const histograms = new Map<string, Histogram>();
+  /** Curves of the histograms as they stand; emptied by the observations that change them. */
+  const curves = new Map<string, LengthCurve>();
 
   const noteInHistogram = (name: string, length: number, nowMs: number) => {
     const known = histograms.get(name);
     const histogram = known ??
-      { weights: LENGTH_HISTOGRAM.edges.map(() => 0), total: 0, updatedMs: nowMs };
+      { weights: LENGTH_CURVE.edges.map(() => 0), total: 0, updatedMs: nowMs };
     const decay = 0.5 ** ((nowMs - histogram.updatedMs) / ADMISSION_LIMITS.lengthHalfLifeMs);
-    const bucket = LENGTH_HISTOGRAM.findBucket(length);
+    const bucket = LENGTH_CURVE.findBucket(length);
     for (const [index, weight] of histogram.weights.entries()) {
       histogram.weights[index] = weight * decay + (index === bucket ? 1 : 0);
     }
@@ -37,56 +41,72 @@
     histograms.delete(name);
     histograms.set(name, histogram);
     if (histograms.size > ADMISSION_LIMITS.maxHistograms) {
-      const oldest = histograms.keys().next().value as string;
-      histograms.delete(oldest);
+      histograms.delete(histograms.keys().next().value as string);
     }
   };
 
-  /** Weight of lengths above `length`: own observations plus the fallback's shape. */
-  const sumBlended = (key: LengthKey, length: number): number => {
+  const buildBlendedCurve = (key: LengthKey): LengthCurve => {
     const own = histograms.get(formatTeamName(key));
     const shared = histograms.get(formatKindName(key));
     const { fallbackWeight } = ADMISSION_LIMITS;
-    const prior = fallbackWeight * LENGTH_HISTOGRAM.sumAbove(PRIOR, length) / PRIOR_TOTAL;
-    const sharedSum = prior + (shared ? LENGTH_HISTOGRAM.sumAbove(shared.weights, length) : 0);
     const sharedTotal = fallbackWeight + (shared?.total ?? 0);
-    return fallbackWeight * sharedSum / sharedTotal +
-      (own ? LENGTH_HISTOGRAM.sumAbove(own.weights, length) : 0);
+    const weights = PRIOR.map((prior, index) => {
+      const sharedWeight = fallbackWeight * prior / PRIOR_TOTAL + (shared?.weights[index] ?? 0);
+      return fallbackWeight * sharedWeight / sharedTotal + (own?.weights[index] ?? 0);
+    });
+    return LENGTH_CURVE.buildCurve(weights);
   };
 
-  const predictSurvival = (question: LengthQuestion, horizons: readonly number[]) => {
-    const { produced } = question;
-    const limit = question.maxTokens ?? Number.POSITIVE_INFINITY;
-    const alive = sumBlended(question, produced);
-    return horizons.map((horizon) => {
-      if (produced + horizon >= limit) {
-        return 0;
-      }
-      return alive <= 0 ? 1 : sumBlended(question, produced + horizon) / alive;
-    });
+  const getCurve = (key: LengthKey): LengthCurve => {
+    const name = formatTeamName(key);
+    const known = curves.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const curve = buildBlendedCurve(key);
+    if (curves.size >= ADMISSION_LIMITS.maxHistograms) {
+      curves.clear();
+    }
+    curves.set(name, curve);
+    return curve;
   };
 
   return {
     noteLength: (key, length, nowMs) => {
       noteInHistogram(formatTeamName(key), length, nowMs);
       noteInHistogram(formatKindName(key), length, nowMs);
+      curves.delete(formatTeamName(key));
+    },
+    predictSurvival: (question, horizons) => {
+      const { produced } = question;
+      const curve = getCurve(question);
+      const limit = question.maxTokens ?? Number.POSITIVE_INFINITY;
+      const alive = LENGTH_CURVE.readAbove(curve, produced);
+      return horizons.map((horizon) => {
+        if (produced + horizon >= limit) {
+          return 0;
+        }
+        return alive <= 0 ? 1 : LENGTH_CURVE.readAbove(curve, produced + horizon) / alive;
+      });
     },
-    predictSurvival,
     predictRest: (question) => {
-      const survival = predictSurvival(question, REST_HORIZONS);
-      const rest = REST_HORIZONS.slice(1).reduce((sum, horizon, index) => {
-        const width = horizon - (REST_HORIZONS[index] as number);
-        return sum + width * ((survival[index] as number) + (survival[index + 1] as number)) / 2;
-      }, 0);
+      const { produced } = question;
+      const curve = getCurve(question);
+      const limit = question.maxTokens ?? Number.POSITIVE_INFINITY;
+      const alive = LENGTH_CURVE.readAbove(curve, produced);
+      const rest = alive <= 0
+        ? Math.min(produced * BEYOND_RECORD_SHARE, limit - produced)
+        : (LENGTH_CURVE.readIntegral(curve, produced) - LENGTH_CURVE.readIntegral(curve, limit)) /
+          alive;
       return Math.max(1, rest);
     },
   };
 }
 
 function formatTeamName(key: LengthKey): string {
-  return JSON.stringify([key.model, key.kind, key.team]);
+  return `${key.model}\0${key.kind}\0${key.team}`;
 }
 
 function formatKindName(key: LengthKey): string {
-  return JSON.stringify([key.model, key.kind]);
+  return `${key.model}\0${key.kind}`;
 }
--- /dev/null
+++ b/packages/daemon/src/admission/create_queue_order.ts
@@ -0,0 +1,64 @@
+import { ADMISSION_LIMITS } from "./constants.ts";
+import type { TeamService } from "./create_team_service.ts";
+import type { QueueEntry } from "./queue_entry.ts";
+
+/** Order of a queue at one moment. */
+export interface QueueOrder {
+  /** Negative when `left` goes first. */
+  compareEntries(left: QueueEntry, right: QueueEntry): number;
+  /** Returns the entry that goes first, or undefined when there is none. */
+  findFirst(entries: Iterable<QueueEntry>): QueueEntry | undefined;
+  /** Returns the number of entries that go before one. */
+  countBefore(entries: Iterable<QueueEntry>, entry: QueueEntry): number;
+}
+
+/**
+ * Creates the order of a queue: urgency class raised by waiting, then entries that run out of time,
+ * then the team least served for its weight, then the deadline, then the arrival.
+ */
+export function createQueueOrder(service: TeamService, nowMs: number): QueueOrder {
+  const shares = new Map<string, number>();
+
+  const getShare = (entry: QueueEntry): number => {
+    const known = shares.get(entry.team);
+    if (known !== undefined) {
+      return known;
+    }
+    const share = service.computeShare(entry.team, entry.weight, nowMs);
+    shares.set(entry.team, share);
+    return share;
+  };
+  const computeClass = (entry: QueueEntry): number => {
+    const raised = Math.floor((nowMs - entry.askedMs) / ADMISSION_LIMITS.agingMs);
+    return Math.max(0, entry.urgency - raised);
+  };
+  const computeHaste = (entry: QueueEntry): number => {
+    const budgetMs = entry.deadlineMs - entry.askedMs;
+    const slackMs = entry.deadlineMs - nowMs;
+    return slackMs < budgetMs * ADMISSION_LIMITS.criticalSlackShare ? 0 : 1;
+  };
+  const compareEntries = (left: QueueEntry, right: QueueEntry): number =>
+    computeClass(left) - computeClass(right) ||
+    computeHaste(left) - computeHaste(right) ||
+    getShare(left) - getShare(right) ||
+    left.deadlineMs - right.deadlineMs ||
+    left.askedMs - right.askedMs;
+
+  return {
+    compareEntries,
+    findFirst: (entries) => {
+      let first: QueueEntry | undefined;
+      for (const entry of entries) {
+        first = first === undefined || compareEntries(entry, first) < 0 ? entry : first;
+      }
+      return first;
+    },
+    countBefore: (entries, entry) => {
+      let count = 0;
+      for (const each of entries) {
+        count += each !== entry && compareEntries(each, entry) < 0 ? 1 : 0;
+      }
+      return count;
+    },
+  };
+}
--- a/packages/daemon/src/admission/create_speed_table.ts
+++ b/packages/daemon/src/admission/create_speed_table.ts
@@ -22,7 +22,7 @@
       table.delete(table.keys().next().value as string);
     }
   };
-  const formatKey = (upstream: string, kind: string) => JSON.stringify([upstream, kind]);
+  const formatKey = (upstream: string, kind: string) => `${upstream}\0${kind}`;
   return {
     noteFirstToken: (upstream, kind, delayMs) =>
       noteValue(firstTokens, formatKey(upstream, kind), delayMs),
--- a/packages/daemon/src/admission/decide_owner.ts
+++ b/packages/daemon/src/admission/decide_owner.ts
@@ -1,4 +1,5 @@
 import { ADMISSION_LIMITS } from "./constants.ts";
+import { createQueueOrder } from "./create_queue_order.ts";
 import { estimateWaitMs } from "./estimate_wait_ms.ts";
 import { advanceHeadroom } from "./headroom_state.ts";
 import { MEMORY_PROJECTION } from "./memory_projection.ts";
@@ -7,7 +8,6 @@
 import type { OwnerEvent } from "./owner_event.ts";
 import type { OwnerState, RunningGeneration } from "./owner_state.ts";
 import type { QueueEntry } from "./queue_entry.ts";
-import { rankQueue } from "./rank_queue.ts";
 
 /** Changes the state of an upstream's owner by one event; returns what to tell entry daemons. */
 export function decideOwner(state: OwnerState, event: OwnerEvent, nowMs: number): OwnerEffect[] {
@@ -61,8 +61,8 @@
   if (!state.queue.has(entry.id)) {
     return effects;
   }
-  const position = rankQueue(state.queue.values(), state.service, nowMs)
-    .findIndex((queued) => queued.id === entry.id);
+  const order = createQueueOrder(state.service, nowMs);
+  const position = order.countBefore(state.queue.values(), entry);
   const expectedWaitMs = estimateWaitMs(state, position);
   const lateByMs = computeLatenessMs(state, entry, expectedWaitMs, nowMs);
   return lateByMs > 0
@@ -99,7 +99,8 @@
   if (state.queue.size <= ADMISSION_LIMITS.maxQueued) {
     return [];
   }
-  const ranked = rankQueue(state.queue.values(), state.service, nowMs);
+  const order = createQueueOrder(state.service, nowMs);
+  const ranked = [...state.queue.values()].sort(order.compareEntries);
   return ranked.slice(ADMISSION_LIMITS.maxQueued)
     .map((entry) => refuseEntry(state, entry, "full", estimateWaitMs(state, ranked.length)));
 }
@@ -110,16 +111,16 @@
   }
   const effects: OwnerEffect[] = [];
   const sums = MEMORY_PROJECTION.sumShares(state.running.values());
-  for (const entry of rankQueue(state.queue.values(), state.service, nowMs)) {
+  const order = createQueueOrder(state.service, nowMs);
+  for (;;) {
+    const entry = order.findFirst(state.queue.values());
+    if (entry === undefined) {
+      break;
+    }
     const share = projectEntry(state, entry, 0);
-    if (
-      !isFitting(
-        state,
-        entry,
-        nowMs,
-        (deviations) => MEMORY_PROJECTION.projectPeak(sums, share, deviations),
-      )
-    ) {
+    const projectPeak = (deviations: number) =>
+      MEMORY_PROJECTION.projectPeak(sums, share, deviations);
+    if (!isFitting(state, entry, nowMs, projectPeak)) {
       break;
     }
     state.queue.delete(entry.id);
--- a/packages/stand_ins/src/engine/create_engine_model.ts
+++ b/packages/stand_ins/src/engine/create_engine_model.ts
@@ -118,6 +118,21 @@
     }
   };
 
+  /** Largest number of steps, at least 1 and up to `limit`, that the free blocks carry. */
+  const countStepsInMemory = (limit: number): number => {
+    const countNeeded = (steps: number) =>
+      running.reduce(
+        (sum, { job, produced, blocks }) =>
+          sum + Math.max(0, countBlocks(job.promptTokens + produced + steps) - blocks),
+        0,
+      );
+    let steps = Math.max(1, limit);
+    while (steps > 1 && countNeeded(steps) > freeBlocks) {
+      steps = Math.ceil(steps / 2);
+    }
+    return steps;
+  };
+
   const planStep = (): StepPlan | undefined => {
     const startable = waiting.reduce((least, each) => Math.min(least, each.submittedMs), Infinity);
     if (running.length === 0) {
@@ -136,8 +151,6 @@
       return { steps: 1, stepMs, prefill: { sequence, tokens } };
     }
     const stepMs = decodeMs / options.speed;
-    const blocksEach = Math.floor(freeBlocks / running.length);
-    const untilMemory = blocksEach === 0 ? 1 : blocksEach * BLOCK_TOKENS;
     const untilArrival = startable > timeMs && startable !== Infinity
       ? Math.ceil((startable - timeMs) / stepMs)
       : MAX_STEPS_AT_ONCE;
@@ -145,7 +158,7 @@
       (least, each) => Math.min(least, each.job.outputTokens - each.produced),
       MAX_STEPS_AT_ONCE,
     );
-    return { steps: Math.max(1, Math.min(untilMemory, untilArrival, untilFinish)), stepMs };
+    return { steps: countStepsInMemory(Math.min(untilArrival, untilFinish)), stepMs };
   };
 
   const finishSequences = () => {
@@ -168,12 +181,20 @@
       current.prefill.sequence.prefillLeft -= current.prefill.tokens;
     }
     for (const sequence of decoding) {
-      const blocks = countBlocks(sequence.job.promptTokens + sequence.produced + steps);
-      freeBlocks -= Math.max(0, blocks - sequence.blocks);
-      sequence.blocks = Math.max(sequence.blocks, blocks);
-      const tokens = { id: sequence.job.id, firstIndex: sequence.produced, count: steps };
-      sequence.produced += steps;
-      sink.addTokens({ ...tokens, firstAtMs, stepMs: current.stepMs });
+      const { job, produced } = sequence;
+      const added = countBlocks(job.promptTokens + produced + steps) - sequence.blocks;
+      if (added > 0) {
+        freeBlocks -= added;
+        sequence.blocks += added;
+      }
+      sequence.produced = produced + steps;
+      sink.addTokens({
+        id: job.id,
+        firstIndex: produced,
+        count: steps,
+        firstAtMs,
+        stepMs: current.stepMs,
+      });
     }
     finishSequences();
   };
