--- a/bench/src/policy/bench_upstream.ts
+++ b/bench/src/policy/bench_upstream.ts
@@ -1,4 +1,4 @@
-import type { OwnerState } from "@crocussail/daemon/policy";
+import type { OwnerState, OwnerWaits } from "@crocussail/daemon/policy";
 import type { EngineModel } from "@crocussail/stand_ins";
 import type { Flight } from "./flight.ts";
 
@@ -12,8 +12,8 @@
   readonly flights: Map<string, Flight>;
   /** Changes with every planned wake; older wakes are ignored. */
   wakeVersion: number;
-  /** Expected wait as the owner last said, and when. */
-  waitMs: number;
+  /** Expected waits as the owner last said, and when. */
+  waits: OwnerWaits;
   wordMs: number;
   choices: number;
   /** Time at which the engine began to leave. */
--- a/bench/src/policy/create_bench_upstreams.ts
+++ b/bench/src/policy/create_bench_upstreams.ts
@@ -39,7 +39,7 @@
         owner,
         flights: new Map(),
         wakeVersion: 0,
-        waitMs: 0,
+        waits: { urgentMs: 0, otherMs: 0 },
         wordMs: 0,
         choices: 0,
         leavingMs: Number.POSITIVE_INFINITY,
--- a/bench/src/policy/run_policy.ts
+++ b/bench/src/policy/run_policy.ts
@@ -1,12 +1,12 @@
 import {
   ADMISSION_LIMITS,
+  computeOwnerWaits,
   createLeavingList,
   createLengthPredictor,
   createPrefixIndex,
   createRetryBudget,
   createSpeedTable,
   decideOwner,
-  estimateWaitMs,
   rankCandidates,
 } from "@crocussail/daemon/policy";
 import type { Candidate, OwnerEffect, OwnerEvent, QueueEntry } from "@crocussail/daemon/policy";
@@ -86,7 +86,7 @@
   const applyEffect = (upstream: BenchUpstream, effect: OwnerEffect) => {
     const flight = flights.get(effect.id);
     if (effect.type === "place") {
-      upstream.waitMs = effect.expectedWaitMs;
+      upstream.waits = computeOwnerWaits(upstream.owner);
       upstream.wordMs = nowMs;
       flight?.places.add(upstream);
       return;
@@ -166,7 +166,9 @@
   const createCandidate = (upstream: BenchUpstream, request: TrafficRequest): Candidate => ({
     upstream: upstream.name,
     inFlight: upstream.flights.size,
-    waitMs: upstream.waitMs,
+    waitMs: request.kind.urgency <= ADMISSION_LIMITS.urgentClass
+      ? upstream.waits.urgentMs
+      : upstream.waits.otherMs,
     firstTokenMs: speeds.estimateFirstTokenMs(upstream.name, request.kind.name),
     gapMs: speeds.estimateGapMs(upstream.name, request.kind.name),
     affinity: prefixes.estimateAffinity(request.prefix.key, upstream.name, nowMs),
@@ -263,9 +265,7 @@
     prefixes.applyEvents(upstream.name, arrived, nowMs);
     sendOwner(upstream, { type: "report", report });
     sendOwner(upstream, { type: "tick" });
-    upstream.waitMs = upstream.owner.queue.size === 0
-      ? 0
-      : estimateWaitMs(upstream.owner, upstream.owner.queue.size);
+    upstream.waits = computeOwnerWaits(upstream.owner);
     upstream.wordMs = nowMs;
     scheduleWake(upstream);
   };
--- /dev/null
+++ b/packages/daemon/src/admission/compute_owner_waits.ts
@@ -0,0 +1,23 @@
+import { ADMISSION_LIMITS } from "./constants.ts";
+import { estimateWaitMs } from "./estimate_wait_ms.ts";
+import type { OwnerState } from "./owner_state.ts";
+
+/** Expected waits of a new request at one owner. */
+export interface OwnerWaits {
+  /** For requests of the urgent classes. */
+  readonly urgentMs: number;
+  /** For all others. */
+  readonly otherMs: number;
+}
+
+/** Computes what an owner tells entry daemons about its queue; nobody waits at an empty queue. */
+export function computeOwnerWaits(state: OwnerState): OwnerWaits {
+  let urgent = 0;
+  for (const entry of state.queue.values()) {
+    urgent += entry.urgency <= ADMISSION_LIMITS.urgentClass ? 1 : 0;
+  }
+  return {
+    urgentMs: urgent === 0 ? 0 : estimateWaitMs(state, urgent),
+    otherMs: state.queue.size === 0 ? 0 : estimateWaitMs(state, state.queue.size),
+  };
+}
--- a/packages/daemon/src/admission/constants.ts
+++ b/packages/daemon/src/admission/constants.ts
@@ -13,9 +13,9 @@
   /** Queue places that one request holds at once. */
   maxPlaces: 3,
   /** Waiting time that raises an entry by one urgency class. */
-  agingMs: 30_000,
+  agingMs: 60_000,
   /** Entries with less than this share of their time left go before the others of their class. */
-  criticalSlackShare: 0.25,
+  criticalSlackShare: 0.7,
   /** Urgency classes up to this one count as urgent. */
   urgentClass: 2,
   /** Share of the memory that only urgent entries may use. */
@@ -24,16 +24,18 @@
   urgentSlots: 2,
   /** Time for which an urgent kind counts as present after its last request. */
   urgentPresenceMs: 60_000,
+  /** Wait after which an urgent entry may displace others on the engine. */
+  urgentPatienceMs: 500,
   /** Standard deviations added to the projected memory. */
-  projectionDeviations: 0.75,
+  projectionDeviations: 0.25,
   /** Share of a token gap target that the batch limit aims at. */
-  gapTargetShare: 0.9,
+  gapTargetShare: 0.95,
   /** Token gap assumed before any was observed. */
   defaultGapMs: 30,
   /** Delay to the first token assumed before any was observed. */
   defaultFirstTokenMs: 200,
   /** Share of the predicted rest that must fit before the deadline. */
-  optimisticRestShare: 0.25,
+  optimisticRestShare: 0.1,
   /** Lower and upper bound of advised delays before another try. */
   minRetryAfterMs: 1_000,
   maxRetryAfterMs: 120_000,
--- a/packages/daemon/src/admission/decide_owner.ts
+++ b/packages/daemon/src/admission/decide_owner.ts
@@ -138,6 +138,9 @@
   projectPeak: (deviations: number) => number,
 ): boolean {
   const isUrgent = entry.urgency <= ADMISSION_LIMITS.urgentClass;
+  if (isUrgent && nowMs - entry.askedMs >= ADMISSION_LIMITS.urgentPatienceMs) {
+    return state.running.size < state.maxBatch;
+  }
   const hasUrgent = nowMs - state.urgentSeenMs < ADMISSION_LIMITS.urgentPresenceMs;
   const isReserved = hasUrgent && !isUrgent;
   const slots = computeBatchLimit(state, entry) - (isReserved ? ADMISSION_LIMITS.urgentSlots : 0);
--- a/packages/daemon/src/admission/headroom_state.ts
+++ b/packages/daemon/src/admission/headroom_state.ts
@@ -13,7 +13,7 @@
 
 const MIN_SHARE = 0.02;
 const MAX_SHARE = 0.4;
-const PREEMPTION_STEP = 0.03;
+const PREEMPTION_STEP = 0.02;
 const GAP_STEP = 0.01;
 const QUIET_FACTOR = 0.9;
 const QUIET_MS = 10_000;
--- a/packages/daemon/src/admission/memory_projection.ts
+++ b/packages/daemon/src/admission/memory_projection.ts
@@ -1,6 +1,8 @@
 /** Numbers of further tokens for each generation at which memory is projected. */
 const HORIZONS = [0, 32, 96, 192, 384, 768, 1_536, 3_072, 6_144] as const;
 
+const NEGLIGIBLE_SURVIVAL = 0.05;
+
 /** Memory that one generation holds now and may hold later. */
 export interface MemoryShare {
   /** Prompt plus produced tokens. */
@@ -27,10 +29,16 @@
     return sums;
   },
   addShare,
-  /** Returns the largest projected use, in tokens, when `share` joins `sums`. */
+  /**
+   * Returns the largest projected use, in tokens, while `share` probably runs: a short answer is not
+   * held back by what long ones need after its end.
+   */
   projectPeak: (sums: MemorySums, share: MemoryShare, deviations: number): number =>
     HORIZONS.reduce<number>((peak, horizon, index) => {
       const survival = share.survival[index] as number;
+      if (survival < NEGLIGIBLE_SURVIVAL) {
+        return peak;
+      }
       const size = share.heldTokens + horizon;
       const expected = (sums.expected[index] as number) + survival * size;
       const variance = (sums.variance[index] as number) + survival * (1 - survival) * size * size;
--- a/packages/daemon/src/admission/policy.ts
+++ b/packages/daemon/src/admission/policy.ts
@@ -1,6 +1,8 @@
 /** Decisions of admission and routing without I/O, for the measurements. @module */
 export type { Candidate, CandidateScore } from "./candidate.ts";
 export { ADMISSION_LIMITS } from "./constants.ts";
+export { computeOwnerWaits } from "./compute_owner_waits.ts";
+export type { OwnerWaits } from "./compute_owner_waits.ts";
 export { createFixedPredictor } from "./create_fixed_predictor.ts";
 export { createLengthPredictor } from "./create_length_predictor.ts";
 export { createLeavingList } from "./create_leaving_list.ts";
@@ -10,7 +12,6 @@
 export { createSpeedTable } from "./create_speed_table.ts";
 export type { SpeedTable } from "./create_speed_table.ts";
 export { decideOwner } from "./decide_owner.ts";
-export { estimateWaitMs } from "./estimate_wait_ms.ts";
 export type { LengthPredictor } from "./length_predictor.ts";
 export type { LoadReport } from "./load_report.ts";
 export type { OwnerEffect } from "./owner_effect.ts";
