--- a/bench/src/policy/check_targets.ts
+++ b/bench/src/policy/check_targets.ts
@@ -38,7 +38,9 @@
     return [];
   }
   const bestGoodput = Math.max(
-    ...nominal.filter((run) => run !== own).map((run) => sumKinds(run, ({ goodput }) => goodput)),
+    ...nominal.filter((run) => run !== own).map((run) =>
+      computeTotal(run, ({ goodput }) => goodput)
+    ),
   );
   return [
     compareSums("stall time at most 1/5", own, base, STALL_SHARE, ({ stallMs }) => stallMs),
@@ -46,7 +48,7 @@
     ...own.kinds.flatMap((kind) => compareKind(kind, base)),
     describeFinding(
       "goodput at least 95% of the best baseline",
-      sumKinds(own, ({ goodput }) => goodput),
+      computeTotal(own, ({ goodput }) => goodput),
       bestGoodput * GOODPUT_SHARE,
       "atLeast",
     ),
@@ -89,10 +91,15 @@
   share: number,
   read: (kind: KindFigures) => number,
 ): Finding {
-  return describeFinding(target, sumKinds(own, read), sumKinds(base, read) * share, "atMost");
+  return describeFinding(
+    target,
+    computeTotal(own, read),
+    computeTotal(base, read) * share,
+    "atMost",
+  );
 }
 
-function sumKinds(run: RunResult, read: (kind: KindFigures) => number): number {
+function computeTotal(run: RunResult, read: (kind: KindFigures) => number): number {
   return run.kinds.reduce((sum, kind) => sum + read(kind), 0);
 }
 
--- a/packages/daemon/src/create_process_daemon.ts
+++ b/packages/daemon/src/create_process_daemon.ts
@@ -3,17 +3,26 @@
 import { createHttpEngineClient } from "./adapters/create_http_engine_client.ts";
 import { createHttpServiceClient } from "./adapters/create_http_service_client.ts";
 import { createNullMetrics } from "./adapters/create_null_metrics.ts";
+import { createProcessUsageReader } from "./adapters/create_process_usage_reader.ts";
 import { createStatsdMetrics } from "./adapters/create_statsd_metrics.ts";
 import { createSystemClock } from "./adapters/create_system_clock.ts";
 import { createSystemRandom } from "./adapters/create_system_random.ts";
+import type { ServiceClient } from "./adapters/service_client.ts";
 import type { ResolvedDaemonConfig } from "./config/mod.ts";
 import { createDaemon } from "./create_daemon.ts";
 import type { Daemon } from "./create_daemon.ts";
+import type { TlsMaterial } from "./http/mod.ts";
 
 /** Options of {@link createProcessDaemon}. */
 export interface ProcessDaemonOptions {
   /** Lowest log level written; consola's numbers, 3 is info. */
   readonly logLevel?: number;
+  /** Wraps the client of plain services; tests hold or fail calls with it. */
+  readonly wrapService?: (client: ServiceClient) => ServiceClient;
+  /** Areas whose debug events are written, for example `orders`. */
+  readonly debugAreas?: readonly string[];
+  /** Certificate and key of the callers' listener. */
+  readonly tls?: TlsMaterial;
 }
 
 /** Creates a daemon on the real clock, network and logger. */
@@ -23,6 +32,7 @@
 ): Daemon {
   const clock = createSystemClock();
   const { host, metrics } = config;
+  const { wrapService = (client) => client } = options;
   return createDaemon({
     config,
     clock,
@@ -31,12 +41,15 @@
       clock,
       host: host.name,
       ...(options.logLevel === undefined ? {} : { level: options.logLevel }),
+      ...(options.debugAreas === undefined ? {} : { debugAreas: options.debugAreas }),
     }),
     metrics: metrics === undefined
       ? createNullMetrics()
       : createStatsdMetrics({ ...metrics, tags: { host: host.name } }),
     settingsSource: createEtcdSettingsSource({ urls: config.settingsService.urls }),
     engine: createHttpEngineClient(),
-    service: createHttpServiceClient(),
+    service: wrapService(createHttpServiceClient()),
+    readUsage: createProcessUsageReader(),
+    ...(options.tls === undefined ? {} : { tls: options.tls }),
   });
 }
