--- a/bench/src/fleet/bench_section.ts
+++ b/bench/src/fleet/bench_section.ts
@@ -1,7 +1,7 @@
-/** Part of a report of a measurement. */
+/** One section of the fleet's measurements. */
 export interface BenchSection {
   readonly name: string;
   readonly rows: Record<string, string | number | boolean>[];
-  /** Budgets missed, each named with its figure; empty when all are kept. */
+  /** Budgets that were missed, by name; empty when all hold. */
   readonly missed: string[];
 }
