Guard orders by claims at three named replicas, checked over interleavings

Cause: the thin version granted by incarnation only, leaked grants on late messages, said `ran: no` about keys that another attempt may have dispatched, and lost every key of a host on a restart. Change: pure decisions for replica, claimant, handover and adoption; epochs; withdrawn claims; digests pinned at the first claim; outcomes of three kinds; key prefixes over data centres from heartbeat riders.

--- a/packages/daemon/src/adapters/create_http_service_client.ts
+++ b/packages/daemon/src/adapters/create_http_service_client.ts
@@ -1,32 +1,72 @@
 import { createResultError } from "@crocussail/protocol";
 import { Left, Right } from "purify-ts";
-import { Client } from "undici";
-import type { ServiceClient } from "./service_client.ts";
+import { buildConnector, Client } from "undici";
+import type { ServiceClient, ServiceRequest, ServiceResponse } from "./service_client.ts";
+
+/** Options of {@link createHttpServiceClient}. */
+export interface HttpServiceClientOptions {
+  /** Time for a connection, in milliseconds; a call's own timeout may end it earlier. */
+  readonly connectTimeoutMs?: number;
+  /** Largest answer, in bytes; a larger one ends the call as `unknown`. */
+  readonly maxAnswerBytes?: number;
+}
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+const MAX_HEADER_BYTES = 16 * 1024;
+/** Headers of an answer that callers and repeats get. */
+const KEPT_HEADERS = ["content-type", "location", "etag", "retry-after", "cache-control"];
 
 /** Creates a client for plain services over HTTP. */
-export function createHttpServiceClient(): ServiceClient {
+export function createHttpServiceClient(options: HttpServiceClientOptions = {}): ServiceClient {
+  const maxAnswerBytes = options.maxAnswerBytes ?? MAX_ANSWER_BYTES;
+  const connectTimeoutMs = options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS;
   return {
     callService: async (url, call) => {
-      const client = new Client(url, { pipelining: 0 });
+      // Without any open connection no byte of the call can have been written.
+      let connections = 0;
+      const connect = buildConnector({ timeout: Math.min(connectTimeoutMs, call.timeoutMs) });
+      const connectOnce: buildConnector.connector = (target, callback) => {
+        if (connections > 0) {
+          callback(new Error("connection ended before the answer"), null);
+          return;
+        }
+        connect(target, (...args) => {
+          connections += args[0] === null ? 1 : 0;
+          callback(...args);
+        });
+      };
+      let client: Client | undefined;
       try {
-        const answer = await client.request({
-          method: call.method as "GET",
-          path: call.path,
-          headers: call.headers,
-          body: call.body.length === 0 ? null : call.body,
-          headersTimeout: call.timeoutMs,
-          bodyTimeout: call.timeoutMs,
+        client = new Client(url, {
+          pipelining: 0,
+          connect: connectOnce,
+          maxHeaderSize: MAX_HEADER_BYTES,
+          maxResponseSize: maxAnswerBytes,
         });
-        const body = new Uint8Array(await answer.body.arrayBuffer());
-        const contentType = String(answer.headers["content-type"] ?? "application/octet-stream");
-        return Right({ status: answer.statusCode, headers: { "content-type": contentType }, body });
+        return Right(await requestAnswer(client, call));
       } catch (error) {
-        const isRefused = (error as { code?: string }).code === "ECONNREFUSED";
-        const ran = isRefused ? "no" : "unknown";
+        const ran = connections === 0 ? "no" : "unknown";
         return Left(createResultError("orderOutcomeUnknown", `${url}: ${error}`, { ran }));
       } finally {
-        await client.destroy();
+        await client?.destroy();
       }
     },
   };
 }
+
+async function requestAnswer(client: Client, call: ServiceRequest): Promise<ServiceResponse> {
+  const answer = await client.request({
+    method: call.method as "GET",
+    path: call.path,
+    headers: call.headers,
+    body: call.body.length === 0 ? null : call.body,
+    signal: AbortSignal.timeout(call.timeoutMs),
+  });
+  const body = new Uint8Array(await answer.body.arrayBuffer());
+  const headers = KEPT_HEADERS.flatMap((name) => {
+    const value = answer.headers[name];
+    return value === undefined ? [] : [[name, String(value)]];
+  });
+  return { status: answer.statusCode, headers: Object.fromEntries(headers), body };
+}
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -132,6 +132,7 @@
     settings.stop();
     membership.stop();
     admission.stop();
+    orders.stop();
     await callerServer.close();
     await operatorServer.close();
     await peers.close();
@@ -141,7 +142,7 @@
     clock,
     logger,
     countRunning: () => generations.countRunning() + orders.countRunning(),
-    stopDaemon: stop,
+    stopDaemon: () => orders.handOverDuties().then(stop),
   });
   const operatorServer = createStateDump({
     config,
--- /dev/null
+++ b/packages/daemon/src/orders/claimant_effect.ts
@@ -0,0 +1,16 @@
+import type { OrderAnswer } from "./order_answer.ts";
+import type { OrderOutcome } from "./order_outcome_schema.ts";
+
+/** What a claimant wants done. */
+export type ClaimantEffect =
+  | {
+    readonly type: "send";
+    readonly message: "claim" | "release" | "record";
+    readonly replica: number;
+    /** Outcome of a `record`. */
+    readonly outcome?: OrderOutcome;
+  }
+  /** Send the call on a fresh connection to the next upstream. */
+  | { readonly type: "dispatch" }
+  /** Answer the caller; once for each attempt. */
+  | { readonly type: "answer"; readonly answer: OrderAnswer };
--- /dev/null
+++ b/packages/daemon/src/orders/create_adopter.ts
@@ -0,0 +1,118 @@
+import type { AdoptionTransfer } from "./adoption_message_schema.ts";
+import { ORDER_LIMITS } from "./constants.ts";
+import { createDutyTable } from "./create_duty_table.ts";
+import { decideAdoption } from "./decide_adoption.ts";
+import type { AdoptionReply, AdoptionState } from "./decide_adoption.ts";
+import type { DutyTable } from "./duty_table.ts";
+import type { OrderRecord } from "./order_record.ts";
+import type { OrderTables } from "./order_tables.ts";
+
+/** Successor side of handovers. */
+export interface Adopter {
+  applyTransfer(message: AdoptionTransfer): AdoptionReply;
+  /** Drops copies whose commit has not come within an epoch, for good. */
+  dropStaleCopies(): void;
+}
+
+/** Options of {@link createAdopter}. */
+export interface AdopterOptions {
+  readonly tables: OrderTables;
+  /** Called when a duty was taken over. */
+  readonly onAdopted: (table: DutyTable) => void;
+}
+
+interface Adoption {
+  state: AdoptionState;
+  readonly table: DutyTable;
+  age: number;
+}
+
+/** Adoptions remembered, closed ones included; at the bound a handover is refused. */
+const MAX_ADOPTIONS = 1_024;
+/** Epoch changes that an uncommitted copy survives. */
+const MAX_AGE = 2;
+
+/** Creates the successor side of handovers. */
+export function createAdopter(options: AdopterOptions): Adopter {
+  const { tables } = options;
+  const adoptions = new Map<string, Adoption>();
+
+  const findAdoption = (message: AdoptionTransfer): Adoption | undefined => {
+    const { incarnation } = message;
+    const known = adoptions.get(incarnation);
+    if (known !== undefined) {
+      return known;
+    }
+    const isRefused = message.type === "commit" || adoptions.size >= MAX_ADOPTIONS ||
+      tables.duties.has(incarnation);
+    if (isRefused) {
+      return undefined;
+    }
+    const created: Adoption = {
+      state: { phase: "none", transfer: "", frames: 0 },
+      table: createDutyTable(message.host, incarnation, message.epoch),
+      age: 0,
+    };
+    adoptions.set(incarnation, created);
+    return created;
+  };
+
+  const adoptDuty = (adoption: Adoption): AdoptionReply => {
+    if (!tables.addDuty(adoption.table)) {
+      adoption.state = { ...adoption.state, phase: "closed" };
+      adoption.table.epochs.clear();
+      return "refused";
+    }
+    options.onAdopted(adoption.table);
+    return "adopted";
+  };
+
+  return {
+    applyTransfer: (message) => {
+      const adoption = findAdoption(message);
+      if (adoption === undefined) {
+        return message.type === "commit" ? "refused" : "stageFailed";
+      }
+      const wasAdopted = adoption.state.phase === "adopted";
+      const { state, reply, isFrameNew } = decideAdoption(adoption.state, message);
+      adoption.state = state;
+      if (isFrameNew && message.type === "stage") {
+        storeFrame(adoption.table, message);
+      }
+      return reply === "adopted" && !wasAdopted ? adoptDuty(adoption) : reply;
+    },
+    dropStaleCopies: () => {
+      for (const adoption of adoptions.values()) {
+        adoption.age++;
+        if (adoption.state.phase === "staging" && adoption.age >= MAX_AGE) {
+          adoption.state = { ...adoption.state, phase: "closed" };
+          adoption.table.epochs.clear();
+        }
+      }
+      forgetOldAdoptions(adoptions, tables);
+    },
+  };
+}
+
+/** Forgets adoptions long after the last message of their transfer can have been under way. */
+function forgetOldAdoptions(adoptions: Map<string, Adoption>, tables: OrderTables): void {
+  for (const [incarnation, adoption] of adoptions) {
+    const isOver = adoption.age > 2 * ORDER_LIMITS.retainedEpochs;
+    if (isOver && !tables.duties.has(incarnation)) {
+      adoptions.delete(incarnation);
+    }
+  }
+}
+
+function storeFrame(
+  table: DutyTable,
+  message: Extract<AdoptionTransfer, { type: "stage" }>,
+): void {
+  const { epoch, oldestEpoch } = message;
+  table.duty = { ...table.duty, epoch, oldestEpoch };
+  for (const { epoch, key, record } of message.records) {
+    const records = table.epochs.get(epoch) ?? new Map<string, OrderRecord>();
+    records.set(key, record as OrderRecord);
+    table.epochs.set(epoch, records);
+  }
+}
--- a/packages/daemon/src/orders/decide_replica.ts
+++ b/packages/daemon/src/orders/decide_replica.ts
@@ -1,56 +1,85 @@
+import { ORDER_LIMITS } from "./constants.ts";
 import type { OrderMessage } from "./order_message_schema.ts";
+import type { OrderRecord } from "./order_record.ts";
 import type { OrderReply } from "./order_reply_schema.ts";
+import type { ReplicaDuty } from "./replica_duty.ts";
 
-/** What a replica remembers of one key. */
-export interface OrderRecord {
-  readonly claim: string;
-  readonly digest: string;
-  readonly outcome?: Extract<OrderMessage, { type: "record" }>["outcome"];
+/** Result of {@link decideReplica}. */
+export interface ReplicaDecision {
+  readonly reply: OrderReply;
+  /** The key's record from now on; undefined when there is none. */
+  readonly record: OrderRecord | undefined;
 }
 
-/** Memory of one replica. */
-export interface ReplicaState {
-  readonly incarnation: string;
-  readonly records: Map<string, OrderRecord>;
-}
-
-/** Applies one message to a replica and returns its answer; the first claim of a key wins. */
-export function decideReplica(state: ReplicaState, message: OrderMessage): OrderReply {
-  if (message.type === "identify") {
-    return { type: "identity", incarnation: state.incarnation };
+/**
+ * Applies one message to a replica's record of a key. The first claim wins until it is released; a
+ * grant never expires into a second one. Memory that is lost or dropped answers `expired` for ever.
+ */
+export function decideReplica(
+  duty: ReplicaDuty,
+  record: OrderRecord | undefined,
+  message: OrderMessage,
+): ReplicaDecision {
+  if (!isRemembered(duty, message)) {
+    return { reply: { type: "expired" }, record };
+  }
+  if (duty.isFrozen) {
+    return { reply: { type: "moved" }, record };
   }
-  const record = state.records.get(message.key);
+  if (record === undefined && duty.isFull) {
+    return { reply: { type: "full" }, record };
+  }
+  if (record !== undefined && record.digest !== message.digest) {
+    return { reply: { type: "mismatch" }, record };
+  }
+  const current = record ?? { digest: message.digest, holder: "", withdrawn: [] };
   switch (message.type) {
     case "claim":
-      return applyClaim(state, message, record);
+      return applyClaim(current, message.claim);
     case "release":
-      if (record?.claim === message.claim && record.outcome === undefined) {
-        state.records.delete(message.key);
-      }
-      return { type: "done" };
+      return { reply: { type: "done" }, record: applyRelease(current, message.claim) };
     case "record":
-      if (record?.claim === message.claim) {
-        state.records.set(message.key, { ...record, outcome: message.outcome });
-      }
-      return { type: "done" };
+      return { reply: { type: "done" }, record: applyOutcome(current, message) };
   }
 }
 
-function applyClaim(
-  state: ReplicaState,
-  message: Extract<OrderMessage, { type: "claim" }>,
-  record: OrderRecord | undefined,
-): OrderReply {
-  if (message.incarnation !== state.incarnation) {
-    return { type: "expired" };
+function isRemembered(duty: ReplicaDuty, message: OrderMessage): boolean {
+  return message.incarnation === duty.incarnation &&
+    message.epoch >= duty.oldestEpoch && message.epoch <= duty.epoch;
+}
+
+function applyClaim(record: OrderRecord, claim: string): ReplicaDecision {
+  if (record.outcome !== undefined) {
+    return { reply: { type: "taken", claim: record.holder, outcome: record.outcome }, record };
+  }
+  if (record.withdrawn.includes(claim)) {
+    return { reply: { type: "withdrawn" }, record };
   }
-  if (record === undefined) {
-    state.records.set(message.key, { claim: message.claim, digest: message.digest });
-    return { type: "granted" };
+  if (record.holder !== "" && record.holder !== claim) {
+    return { reply: { type: "taken", claim: record.holder }, record };
   }
-  if (record.claim === message.claim) {
-    return { type: "granted" };
+  return { reply: { type: "granted" }, record: { ...record, holder: claim } };
+}
+
+/** Frees the grant of exactly this claim, and remembers the claim for its late messages. */
+function applyRelease(record: OrderRecord, claim: string): OrderRecord {
+  if (record.withdrawn.includes(claim)) {
+    return record;
+  }
+  const withdrawn = [...record.withdrawn, claim].slice(-ORDER_LIMITS.maxWithdrawnClaims);
+  return { ...record, withdrawn, holder: record.holder === claim ? "" : record.holder };
+}
+
+/**
+ * Keeps the first outcome. Only a claimant with a majority sends one, so it stands also where
+ * another claim holds this replica's grant.
+ */
+function applyOutcome(
+  record: OrderRecord,
+  message: Extract<OrderMessage, { type: "record" }>,
+): OrderRecord {
+  if (record.outcome !== undefined) {
+    return record;
   }
-  const { digest, outcome } = record;
-  return outcome === undefined ? { type: "taken", digest } : { type: "taken", digest, outcome };
+  return { ...record, holder: message.claim, outcome: message.outcome };
 }
--- /dev/null
+++ b/packages/daemon/src/orders/interleavings/find_stuck_key.ts
@@ -0,0 +1,66 @@
+import { createClaimantState } from "../create_claimant_state.ts";
+import { applyClaimantEvent } from "./apply_claimant_event.ts";
+import { receiveMessage } from "./receive_message.ts";
+import { listDispatchSteps } from "./list_dispatch_steps.ts";
+import type { ModelFaults } from "./model_scenario.ts";
+import type { ModelWorld } from "./model_world.ts";
+import type { OrderDecisions } from "./order_decisions.ts";
+
+const NO_FAULTS: ModelFaults = {
+  losses: 0,
+  duplicates: 0,
+  claimantCrashes: 0,
+  restarts: 0,
+  epochDrops: 0,
+  earlyTimeouts: 0,
+  lateWakes: 0,
+  refusals: 0,
+  breaks: 0,
+  handovers: 0,
+};
+const MAX_STEPS = 100;
+
+/**
+ * At the end of a schedule, repeats the order once without faults. With a majority of the memory
+ * intact and no claimant crashed, the repeat must end with an outcome.
+ */
+export function findStuckKey(world: ModelWorld, decisions: OrderDecisions): string | undefined {
+  if (!isOutcomeOwed(world)) {
+    return undefined;
+  }
+  const repeat = world.claimants.length;
+  const state = createClaimantState({
+    claim: "repeat",
+    digest: "d",
+    replicas: world.replicas.length,
+    upstreams: 1,
+  });
+  const claimant = { state, isStarted: false, isCrashed: false, isLate: false };
+  const start = { ...world, faults: NO_FAULTS, claimants: [...world.claimants, claimant] };
+  let current = applyClaimantEvent(start, repeat, { type: "start" }, decisions);
+  for (let step = 0; step < MAX_STEPS; step++) {
+    const [message] = current.network;
+    const next = message === undefined
+      ? listDispatchSteps(current, decisions)
+      : receiveMessage({ ...current, network: current.network.slice(1) }, message, decisions);
+    const last = next.at(-1);
+    if (last === undefined) {
+      break;
+    }
+    current = last;
+  }
+  const replies = current.claimants[repeat]?.state.replies ?? [];
+  const isReplayed = replies.some((reply) => reply?.type === "taken" && reply.outcome);
+  const isRun = current.claimants[repeat]?.state.outcome !== undefined;
+  return isReplayed || isRun ? undefined : "key ends without an outcome";
+}
+
+function isOutcomeOwed(world: ModelWorld): boolean {
+  const lost = world.replicas.filter((replica) =>
+    replica.isMemoryLost ||
+    (replica.process.duty.isFrozen &&
+      !replica.successors.some(({ adoption }) => adoption.phase === "adopted"))
+  ).length;
+  return world.claimants.every((claimant) => !claimant.isCrashed) &&
+    world.replicas.length - lost > world.replicas.length / 2;
+}
--- /dev/null
+++ b/packages/daemon/src/orders/interleavings/handover_mutations.ts
@@ -0,0 +1,39 @@
+import type { Mutation } from "./mutation.ts";
+
+/** Faults of a handover. */
+export const HANDOVER_MUTATIONS: readonly Mutation[] = [
+  {
+    name: "thaw when a handover fails",
+    apply: (decisions) => ({
+      ...decisions,
+      decideHandover: (state, event) => {
+        const decision = decisions.decideHandover(state, event);
+        const effects = decision.effects.filter((effect) => effect.type !== "freeze");
+        return { ...decision, effects };
+      },
+    }),
+  },
+  {
+    name: "commit to a second successor when in doubt",
+    apply: (decisions) => ({
+      ...decisions,
+      decideHandover: (state, event) =>
+        decisions.decideHandover(
+          event.type === "timeout" && state.phase === "committing"
+            ? { ...state, phase: "staging" }
+            : state,
+          event,
+        ),
+    }),
+  },
+  {
+    name: "adopt a duty without its records",
+    apply: (decisions) => ({
+      ...decisions,
+      decideAdoption: (state, message) => {
+        const decision = decisions.decideAdoption(state, message);
+        return { ...decision, isFrameNew: false };
+      },
+    }),
+  },
+];
--- /dev/null
+++ b/packages/daemon/src/orders/interleavings/main.ts
@@ -0,0 +1,28 @@
+import process from "node:process";
+import { checkOrders } from "./check_orders.ts";
+import { SCENARIOS } from "./scenarios.ts";
+
+const MIN_SCHEDULES = 200_000;
+const isLong = process.argv.includes("--long");
+const report = checkOrders(isLong ? SCENARIOS.long : SCENARIOS.short);
+const schedules = report.scenarios.reduce((sum, scenario) => sum + scenario.schedules, 0);
+const worlds = report.scenarios.reduce((sum, scenario) => sum + scenario.worlds, 0);
+const violations = report.scenarios.filter((scenario) => scenario.violation !== undefined);
+const missed = report.mutations.filter((mutation) => mutation.violation === undefined);
+const isMet = violations.length === 0 && missed.length === 0 && schedules >= MIN_SCHEDULES;
+
+if (process.argv.includes("--json")) {
+  console.log(JSON.stringify({ isMet, schedules, worlds, ...report }, null, 2));
+} else {
+  for (const scenario of report.scenarios) {
+    const end = scenario.violation ?? "every promise held";
+    console.log(
+      `${scenario.name}: ${scenario.schedules} schedules, ${scenario.worlds} worlds: ${end}`,
+    );
+  }
+  for (const mutation of report.mutations) {
+    console.log(`mutation "${mutation.name}": ${mutation.violation ?? "NOT CAUGHT"}`);
+  }
+  console.log(`${schedules} schedules, ${worlds} worlds, ${missed.length} mutations not caught`);
+}
+process.exitCode = isMet ? 0 : 1;
--- /dev/null
+++ b/packages/daemon/src/orders/interleavings/receive_message.ts
@@ -0,0 +1,127 @@
+import type { AdoptionMessage } from "../decide_adoption.ts";
+import { applyClaimantEvent } from "./apply_claimant_event.ts";
+import { applyHandoverEvent } from "./apply_handover_event.ts";
+import type { ModelMessage, ModelProcess, ModelReplica, ModelWorld } from "./model_world.ts";
+import type { OrderDecisions } from "./order_decisions.ts";
+
+type Request = Extract<ModelMessage, { to: "replica" }>;
+type Answer = Extract<ModelMessage, { to: "claimant" }>;
+
+const TRANSFER = "t";
+
+/** Returns the worlds after a delivery: one for each process that the message may reach. */
+export function receiveMessage(
+  world: ModelWorld,
+  message: ModelMessage,
+  decisions: OrderDecisions,
+): ModelWorld[] {
+  switch (message.to) {
+    case "replica":
+      return receiveRequest(world, message, decisions);
+    case "claimant":
+      return [applyClaimantEvent(
+        world,
+        message.claimant,
+        { type: "reply", to: message.about, replica: message.replica, reply: message.reply },
+        decisions,
+      )];
+    case "successor":
+      return [receiveTransfer(world, message, decisions)];
+    case "leaver":
+      return [applyHandoverEvent(world, message.replica, message, decisions)];
+  }
+}
+
+/**
+ * A claimant may still ask the old process, or know the successor already. Once the transfer is
+ * confirmed it knows: a message to the old process changes nothing there, like a lost one.
+ */
+function receiveRequest(
+  world: ModelWorld,
+  message: Request,
+  decisions: OrderDecisions,
+): ModelWorld[] {
+  const replica = world.replicas[message.replica];
+  if (replica === undefined) {
+    return [];
+  }
+  const worlds: ModelWorld[] = [];
+  if (!replica.handover.isTransferred) {
+    const { process, reply } = requestReply(replica.process, message, decisions);
+    const answered = { replica: { ...replica, process }, reply };
+    worlds.push(settleRequest(world, message, answered, decisions));
+  }
+  for (const [index, successor] of replica.successors.entries()) {
+    if (successor.adoption.phase !== "adopted") {
+      continue;
+    }
+    const { process, reply } = requestReply(successor.process, message, decisions);
+    const successors = replica.successors.with(index, { ...successor, process });
+    const answered = { replica: { ...replica, successors }, reply };
+    worlds.push(settleRequest(world, message, answered, decisions));
+  }
+  return worlds;
+}
+
+function requestReply(process: ModelProcess, message: Request, decisions: OrderDecisions) {
+  const { reply, record } = decisions.decideReplica(process.duty, process.record, message.message);
+  return { reply, process: { ...process, record } };
+}
+
+function settleRequest(
+  world: ModelWorld,
+  request: Request,
+  answered: { readonly replica: ModelReplica; readonly reply: Answer["reply"] },
+  decisions: OrderDecisions,
+): ModelWorld {
+  const { claimant } = request;
+  const next = { ...world, replicas: world.replicas.with(request.replica, answered.replica) };
+  const state = world.claimants[claimant];
+  if (state === undefined || state.isCrashed || state.state.phase === "ended") {
+    return next;
+  }
+  const about = request.message.type;
+  if (world.areAcksInstant && about !== "claim") {
+    const { replica } = request;
+    const event = { type: "reply", to: about, replica, reply: answered.reply } as const;
+    return applyClaimantEvent(next, claimant, event, decisions);
+  }
+  const answer: Answer = {
+    to: "claimant",
+    replica: request.replica,
+    claimant,
+    about,
+    reply: answered.reply,
+  };
+  return { ...next, network: [...next.network, answer] };
+}
+
+function receiveTransfer(
+  world: ModelWorld,
+  message: Extract<ModelMessage, { to: "successor" }>,
+  decisions: OrderDecisions,
+): ModelWorld {
+  const replica = world.replicas[message.replica];
+  const successor = replica?.successors[message.successor];
+  if (replica === undefined || successor === undefined) {
+    return world;
+  }
+  const transfer = `${TRANSFER}${message.successor}`;
+  const content: AdoptionMessage = message.type === "stage"
+    ? { type: "stage", transfer, frame: 0 }
+    : { type: "commit", transfer, frames: 1 };
+  const { state, reply, isFrameNew } = decisions.decideAdoption(successor.adoption, content);
+  const process = isFrameNew ? { ...successor.process, record: message.record } : successor.process;
+  const successors = replica.successors.with(message.successor, { adoption: state, process });
+  const answer: ModelMessage = {
+    to: "leaver",
+    replica: message.replica,
+    successor: String(message.successor),
+    type: reply,
+  };
+  return {
+    ...world,
+    replicas: world.replicas.with(message.replica, { ...replica, successors }),
+    network: [...world.network, answer],
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/orders/order_channel.ts
@@ -0,0 +1,2 @@
+/** Peer channel of the orders slice. */
+export const ORDER_CHANNEL = "orders";
--- a/packages/daemon/src/orders/order_message_schema.ts
+++ b/packages/daemon/src/orders/order_message_schema.ts
@@ -1,29 +1,24 @@
 import { z } from "zod";
+import { orderOutcomeSchema } from "./order_outcome_schema.ts";
 
-const outcomeSchema = z.strictObject({
-  status: z.number().int(),
-  headers: z.record(z.string(), z.string()),
-  body: z.instanceof(Uint8Array),
-});
+const keyed = {
+  /** Digest of team and idempotency key. */
+  key: z.string().max(64),
+  /** Attempt that claims the key: `host/incarnation/number`. */
+  claim: z.string().max(512),
+  /** Digest of method, path and body. */
+  digest: z.string().max(64),
+  /** Process start whose memory guards the key. */
+  incarnation: z.string().max(64),
+  epoch: z.number().int().nonnegative(),
+};
 
-/** Requests on the `orders` channel. */
+/** Messages of a claimant to a replica. */
 export const orderMessageSchema = z.discriminatedUnion("type", [
-  z.strictObject({ type: z.literal("identify") }),
-  z.strictObject({
-    type: z.literal("claim"),
-    key: z.string().max(1024),
-    claim: z.string(),
-    digest: z.string(),
-    incarnation: z.string(),
-  }),
-  z.strictObject({ type: z.literal("release"), key: z.string().max(1024), claim: z.string() }),
-  z.strictObject({
-    type: z.literal("record"),
-    key: z.string().max(1024),
-    claim: z.string(),
-    outcome: outcomeSchema,
-  }),
+  z.strictObject({ type: z.literal("claim"), ...keyed }),
+  z.strictObject({ type: z.literal("release"), ...keyed }),
+  z.strictObject({ type: z.literal("record"), ...keyed, outcome: orderOutcomeSchema }),
 ]);
 
-/** Request on the `orders` channel. */
+/** Message of a claimant to a replica. */
 export type OrderMessage = z.infer<typeof orderMessageSchema>;
--- /dev/null
+++ b/packages/daemon/src/orders/order_outcome_schema.ts
@@ -0,0 +1,21 @@
+import { z } from "zod";
+
+/** End of an order, as the replicas keep it; never changed once it is recorded. */
+export const orderOutcomeSchema = z.discriminatedUnion("type", [
+  /** The service answered. */
+  z.strictObject({
+    type: z.literal("completed"),
+    status: z.number().int(),
+    headers: z.record(z.string(), z.string()),
+    /** Empty when the body was omitted. */
+    body: z.instanceof(Uint8Array),
+    isBodyOmitted: z.boolean(),
+  }),
+  /** Bytes of the call were written, and no complete answer came. */
+  z.strictObject({ type: z.literal("unknown"), detail: z.string() }),
+  /** A claimant with a majority wrote no byte of the call, and never will. */
+  z.strictObject({ type: z.literal("notRun"), detail: z.string() }),
+]);
+
+/** End of an order. */
+export type OrderOutcome = z.infer<typeof orderOutcomeSchema>;
--- a/packages/daemon/src/orders/order_reply_schema.ts
+++ b/packages/daemon/src/orders/order_reply_schema.ts
@@ -1,21 +1,29 @@
 import { z } from "zod";
+import { orderOutcomeSchema } from "./order_outcome_schema.ts";
 
-/** Answers on the `orders` channel. */
+/** Answers of a replica to a claimant. */
 export const orderReplySchema = z.discriminatedUnion("type", [
-  z.strictObject({ type: z.literal("identity"), incarnation: z.string() }),
+  /** The claim holds the key at this replica; no other claim will, unless it is released. */
   z.strictObject({ type: z.literal("granted") }),
+  /** Another claim holds the key, or its outcome is recorded. */
   z.strictObject({
     type: z.literal("taken"),
-    digest: z.string(),
-    outcome: z.strictObject({
-      status: z.number().int(),
-      headers: z.record(z.string(), z.string()),
-      body: z.instanceof(Uint8Array),
-    }).optional(),
+    claim: z.string(),
+    outcome: orderOutcomeSchema.optional(),
   }),
+  /** The key was first used for another call; this replica never grants it for this one. */
+  z.strictObject({ type: z.literal("mismatch") }),
+  /** The claim was released before. */
+  z.strictObject({ type: z.literal("withdrawn") }),
+  /** The memory that guards the key is lost or dropped; this replica never grants the key. */
   z.strictObject({ type: z.literal("expired") }),
+  /** The table is at its bound; nothing was stored. */
+  z.strictObject({ type: z.literal("full") }),
+  /** The duty is being handed over; nothing was stored. */
+  z.strictObject({ type: z.literal("moved") }),
+  /** A release or record was applied. */
   z.strictObject({ type: z.literal("done") }),
 ]);
 
-/** Answer on the `orders` channel. */
+/** Answer of a replica to a claimant. */
 export type OrderReply = z.infer<typeof orderReplySchema>;
--- /dev/null
+++ b/packages/daemon/src/orders/run_claimant.ts
@@ -0,0 +1,120 @@
+import type { Clock, Timer } from "@crocussail/protocol";
+import type { ClaimantEffect } from "./claimant_effect.ts";
+import type { ClaimantEvent } from "./claimant_event.ts";
+import { ORDER_LIMITS } from "./constants.ts";
+import { createClaimantState } from "./create_claimant_state.ts";
+import { decideClaimant } from "./decide_claimant.ts";
+import type { KeyPrefix } from "./key_prefix_schema.ts";
+import type { OrderAnswer } from "./order_answer.ts";
+import type { OrderMessage } from "./order_message_schema.ts";
+import type { OrderOutcome } from "./order_outcome_schema.ts";
+import type { ReplicaLink } from "./replica_link.ts";
+
+/** Options of {@link runClaimant}. */
+export interface ClaimantRun {
+  readonly clock: Clock;
+  readonly link: ReplicaLink;
+  readonly prefix: KeyPrefix;
+  /** Digest of team and key, and of the call. */
+  readonly key: string;
+  readonly digest: string;
+  readonly claim: string;
+  /** Monotonic time after which nothing is dispatched. */
+  readonly deadlineMs: number;
+  readonly upstreams: number;
+  /** Sends the call to the upstream at a position; undefined when no byte was written. */
+  readonly dispatch: (upstream: number) => Promise<OrderOutcome | undefined>;
+  /** Called once, when nothing of the attempt is under way any more. */
+  readonly onEnd: () => void;
+}
+
+/** Runs one attempt; resolves with the answer, while releases or records may go on. */
+export function runClaimant(run: ClaimantRun): Promise<OrderAnswer> {
+  const { clock, prefix } = run;
+  return new Promise((resolve) => {
+    let state = createClaimantState({ ...run, replicas: prefix.length });
+    let timer: Timer | undefined;
+    let claimedAt = clock.readMonotonicMs();
+    let outstanding = 0;
+    let dispatches = 0;
+
+    const applyEvent = (event: ClaimantEvent) => {
+      if (state.phase === "ended") {
+        return;
+      }
+      const now = clock.readMonotonicMs();
+      const isStale = now - claimedAt > ORDER_LIMITS.maxClaimAgeMs;
+      const decision = decideClaimant(state, event, { isLate: now >= run.deadlineMs, isStale });
+      state = decision.state;
+      decision.effects.forEach(applyEffect);
+      const sends = decision.effects.filter((effect) => effect.type === "send");
+      if (sends.length > 0) {
+        startRound(now);
+      }
+      if (state.phase === "ended") {
+        timer?.cancel();
+        run.onEnd();
+      }
+    };
+
+    const startRound = (now: number) => {
+      timer?.cancel();
+      claimedAt = state.phase === "claiming" ? now : claimedAt;
+      const { roundTimeoutMs, recordTimeoutMs } = ORDER_LIMITS;
+      const delayMs = state.phase === "claiming" ? roundTimeoutMs : recordTimeoutMs;
+      timer = clock.startTimer(delayMs, () => applyEvent({ type: "timeout" }));
+    };
+
+    const applyEffect = (effect: ClaimantEffect) => {
+      switch (effect.type) {
+        case "send":
+          sendToReplica(effect);
+          break;
+        case "dispatch":
+          timer?.cancel();
+          dispatchCall();
+          break;
+        case "answer":
+          resolve(effect.answer);
+          break;
+      }
+    };
+
+    const dispatchCall = async () => {
+      const outcome = await run.dispatch(dispatches++);
+      applyEvent(outcome === undefined ? { type: "refused" } : { type: "dispatched", outcome });
+    };
+
+    const sendToReplica = async (effect: Extract<ClaimantEffect, { type: "send" }>) => {
+      const named = prefix[effect.replica];
+      if (named === undefined) {
+        return;
+      }
+      outstanding++;
+      const reply = await run.link.askReplica(named, createMessage(run, named, effect));
+      outstanding--;
+      if (reply !== undefined) {
+        applyEvent({ type: "reply", to: effect.message, replica: effect.replica, reply });
+      }
+      // Every replica has answered or failed: waiting longer changes nothing.
+      if (outstanding === 0 && state.phase === "claiming") {
+        applyEvent({ type: "timeout" });
+      }
+    };
+
+    applyEvent({ type: "start" });
+  });
+}
+
+function createMessage(
+  run: ClaimantRun,
+  named: KeyPrefix[number],
+  effect: Extract<ClaimantEffect, { type: "send" }>,
+): OrderMessage {
+  const { key, claim, digest } = run;
+  const { incarnation, epoch } = named;
+  const keyed = { key, claim, digest, incarnation, epoch };
+  return effect.message === "record" && effect.outcome !== undefined
+    ? { type: "record", ...keyed, outcome: effect.outcome }
+    : { type: effect.message === "claim" ? "claim" : "release", ...keyed };
+}
