Give each upstream one admission owner, with leases, fallback and notices

Entry daemons picked the engine with the fewest of their own generations, so eight of them overfilled the same engine. Now the owner by rendezvous hash counts and grants; entry daemons hold queue places at up to three owners, renew their grants, and fall back to two choices within a local share when no owner answers.

--- a/packages/daemon/src/admission/admission.ts
+++ b/packages/daemon/src/admission/admission.ts
@@ -13,6 +13,10 @@
   readonly deadlineMs: number;
   /** Upstreams already tried for this request. */
   readonly excluded: ReadonlySet<string>;
+  /** Key of the prompt's start, as the engines' cache events name it. */
+  readonly prefixKey?: string;
+  /** Tells that nobody waits for the grant any more; asked now and then. */
+  readonly isAbandoned?: () => boolean;
 }
 
 /** Why a granted generation ended. */
--- /dev/null
+++ b/packages/daemon/src/admission/admission_message_schema.ts
@@ -0,0 +1,59 @@
+import { z } from "zod";
+
+const MAX_NAME_LENGTH = 255;
+const MAX_RENEWALS = 256;
+const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
+const countSchema = z.number().nonnegative();
+
+/** A generation as it travels between daemons: times are relative, since clocks differ. */
+const entrySchema = z.strictObject({
+  id: nameSchema,
+  team: nameSchema,
+  kind: nameSchema,
+  model: nameSchema,
+  urgency: z.number().int().min(0).max(9),
+  weight: z.number().positive(),
+  promptTokens: countSchema,
+  maxTokens: countSchema.optional(),
+  tokenGapMs: z.number().positive(),
+  waitedMs: countSchema,
+  remainingMs: z.number(),
+});
+
+/** Messages on the `admission` channel. */
+export const admissionMessageSchema = z.discriminatedUnion("type", [
+  /** Entry daemon to owner, a request: wants a place or keeps the one it has. */
+  z.strictObject({ type: z.literal("ask"), upstream: nameSchema, entry: entrySchema }),
+  /** Entry daemon to owner: the grants it uses, which renews their leases. */
+  z.strictObject({
+    type: z.literal("renew"),
+    upstream: nameSchema,
+    grants: z.array(z.strictObject({ entry: entrySchema, produced: countSchema }))
+      .max(MAX_RENEWALS),
+  }),
+  /** Entry daemon to owner: the place or grant is no longer wanted. */
+  z.strictObject({
+    type: z.literal("release"),
+    upstream: nameSchema,
+    id: nameSchema,
+    /** Tokens of a complete answer. */
+    produced: countSchema.optional(),
+    /** The engine did not take the generation. */
+    isRefused: z.boolean(),
+  }),
+  /** Owner to entry daemon: a waiting entry is granted. */
+  z.strictObject({ type: z.literal("granted"), upstream: nameSchema, id: nameSchema }),
+  /** Owner to entry daemon: a waiting entry is given up. */
+  z.strictObject({
+    type: z.literal("refused"),
+    upstream: nameSchema,
+    id: nameSchema,
+    reason: z.enum(["late", "full", "leaving", "tooLarge"]),
+    retryAfterMs: countSchema,
+  }),
+]);
+
+/** Message on the `admission` channel. */
+export type AdmissionMessage = z.infer<typeof admissionMessageSchema>;
+/** Generation as it travels between daemons. */
+export type EntryMessage = z.infer<typeof entrySchema>;
--- a/packages/daemon/src/admission/constants.ts
+++ b/packages/daemon/src/admission/constants.ts
@@ -41,6 +41,28 @@
   maxRetryAfterMs: 120_000,
   /** Life of a grant that its entry daemon does not renew. */
   grantLeaseMs: 15_000,
+  /** Time between two reports of an entry daemon about its grants. */
+  renewMs: 2_000,
+  /** Grants in one report. */
+  maxRenewals: 256,
+  /** Time between two questions of a waiting entry to its owners. */
+  askAgainMs: 1_000,
+  /** Life of a queue place that its entry daemon does not ask for again. */
+  placeLeaseMs: 10_000,
+  /** Bound of the wait for an owner's answer. */
+  ownerTimeoutMs: 300,
+  /** Requests that wait at one entry daemon; at the bound the next one is refused. */
+  maxWaiting: 4_096,
+  /** Grants that an entry daemon gives itself on one upstream whose owner is silent. */
+  localShare: 2,
+  /** Time between two load reports that an owner asks an engine for. */
+  pollMs: 1_000,
+  /** Memory assumed of an engine that states none. */
+  defaultCapacityTokens: 32_768,
+  /** Grants of a new owner before the engine's first report. */
+  firstGrants: 4,
+  /** Time after which a former owner forgets an upstream without grants. */
+  formerOwnerMs: 60_000,
   /** Time in which served tokens lose half their weight in fairness. */
   serviceHalfLifeMs: 120_000,
   /** Teams whose service is remembered; the least served is forgotten. */
--- /dev/null
+++ b/packages/daemon/src/admission/convert_entry.ts
@@ -0,0 +1,23 @@
+import type { EntryMessage } from "./admission_message_schema.ts";
+import type { QueueEntry } from "./queue_entry.ts";
+
+/** Conversions between an entry on this host's clock and the form that travels. */
+export const ENTRY_CONVERSION = {
+  toMessage: (entry: QueueEntry, nowMs: number): EntryMessage => {
+    const { askedMs, deadlineMs, ...rest } = entry;
+    return {
+      ...rest,
+      waitedMs: Math.max(0, nowMs - askedMs),
+      remainingMs: deadlineMs - nowMs,
+    };
+  },
+  toEntry: (message: EntryMessage, nowMs: number): QueueEntry => {
+    const { waitedMs, remainingMs, maxTokens, ...rest } = message;
+    return {
+      ...rest,
+      ...(maxTokens === undefined ? {} : { maxTokens }),
+      askedMs: nowMs - waitedMs,
+      deadlineMs: nowMs + remainingMs,
+    };
+  },
+} as const;
--- a/packages/daemon/src/admission/create_admission.ts
+++ b/packages/daemon/src/admission/create_admission.ts
@@ -1,50 +1,181 @@
 import { createResultError } from "@crocussail/protocol";
-import { Left, Right } from "purify-ts";
+import type { Timer } from "@crocussail/protocol";
+import { Left } from "purify-ts";
+import type { LoadClient } from "../adapters/load_client.ts";
+import type { DaemonContext } from "../common/daemon_context.ts";
+import type { Membership } from "../membership/mod.ts";
 import type { SettingsView } from "../settings/mod.ts";
 import type { Admission } from "./admission.ts";
+import { admissionMessageSchema } from "./admission_message_schema.ts";
+import type { AdmissionMessage } from "./admission_message_schema.ts";
+import type { CandidateScore } from "./candidate.ts";
+import { ADMISSION_LIMITS } from "./constants.ts";
+import { createCandidateView } from "./create_candidate_view.ts";
+import { createGrantClient } from "./create_grant_client.ts";
+import { createGrantTable } from "./create_grant_table.ts";
+import { createLeavingList } from "./create_leaving_list.ts";
+import { createOwnerService } from "./create_owner_service.ts";
+import { createRetryBudget } from "./create_retry_budget.ts";
+import { findOwner } from "./find_owner.ts";
+import { leavingNoticeSchema } from "./leaving_notice_schema.ts";
+import { scoreExpectedTime } from "./score_expected_time.ts";
 
 /** Options of {@link createAdmission}. */
 export interface AdmissionOptions {
+  readonly context: Pick<
+    DaemonContext,
+    | "clock"
+    | "config"
+    | "incarnation"
+    | "journal"
+    | "logger"
+    | "metrics"
+    | "peers"
+    | "random"
+  >;
   readonly settings: SettingsView;
+  readonly membership: Pick<
+    Membership,
+    "listLiveHosts" | "isViewFresh" | "publishNotice" | "subscribeNotices"
+  >;
+  readonly load: LoadClient;
+  /** Rates candidates; by default the expected time to the whole answer. */
+  readonly score?: CandidateScore;
 }
 
-const RETRY_AFTER_MS = 1_000;
+const CHANNEL = "admission";
+const LEAVING_TOPIC = "upstreamLeaving";
 
-/** Creates the admission slice: places each generation on the engine with the fewest in flight. */
+/**
+ * Creates the admission slice. Each upstream has one owner among the daemons, which counts and
+ * grants; entry daemons ask it. A wrong, doubled or silent owner costs performance only.
+ */
 export function createAdmission(options: AdmissionOptions): Admission {
-  const inFlight = new Map<string, number>();
-  const bumpInFlight = (upstream: string, change: number) =>
-    inFlight.set(upstream, (inFlight.get(upstream) ?? 0) + change);
+  const { context, settings, membership } = options;
+  const { clock, peers } = context;
+  const leaving = createLeavingList();
+  const view = createCandidateView({ settings, leaving });
+  const retryBudget = createRetryBudget();
+  let noticeCount = 0;
+  let timer: Timer | undefined;
+
+  const findUpstreamOwner = (upstream: string): string | undefined => {
+    const hosts = settings.getHosts();
+    const dataCentre = settings.getUpstreams().get(upstream)?.dataCentre ?? "";
+    const candidates = membership.listLiveHosts()
+      .map((host) => ({ host, dataCentre: hosts.get(host)?.dataCentre }));
+    return findOwner(upstream, dataCentre, candidates);
+  };
+  const sendToOwner = (upstream: string, message: AdmissionMessage) => {
+    const host = findUpstreamOwner(upstream);
+    if (host !== undefined) {
+      peers.sendMessage(host, CHANNEL, message);
+    }
+  };
+
+  const applyLeaving = (upstream: string, isLeaving: boolean): boolean => {
+    const nowMs = clock.readMonotonicMs();
+    if (!isLeaving) {
+      return leaving.clearLeaving(upstream, nowMs);
+    }
+    const isNews = leaving.markLeaving(upstream, nowMs);
+    if (isNews) {
+      context.logger.writeEvent("upstreamLeaving", { upstream });
+      owners.markLeaving(upstream);
+    }
+    return isNews;
+  };
+  const noteLeaving = (upstream: string, isLeaving: boolean) => {
+    if (applyLeaving(upstream, isLeaving)) {
+      noticeCount += 1;
+      membership.publishNotice({
+        topic: LEAVING_TOPIC,
+        key: `${upstream}/${context.incarnation}/${noticeCount}`,
+        payload: { upstream, isLeaving },
+        ttlMs: ADMISSION_LIMITS.leavingTtlMs,
+      });
+    }
+  };
+  membership.subscribeNotices(LEAVING_TOPIC, (notice) => {
+    const payload = leavingNoticeSchema.safeParse(notice.payload).data;
+    if (payload !== undefined && settings.getUpstreams().has(payload.upstream)) {
+      applyLeaving(payload.upstream, payload.isLeaving);
+    }
+  });
+
+  const owners = createOwnerService({
+    context,
+    settings,
+    load: options.load,
+    isOwner: (upstream) => findUpstreamOwner(upstream) === context.config.host.name,
+    sendMessage: (host, message) => peers.sendMessage(host, CHANNEL, message),
+    noteLeaving,
+    applyCacheEvents: (upstream, events) =>
+      view.prefixes.applyEvents(upstream, events, clock.readMonotonicMs()),
+    getCacheSequence: view.prefixes.getSequence,
+  });
+  const grants = createGrantTable({ clock, view, sendToOwner });
+  const client = createGrantClient({
+    context,
+    settings,
+    view,
+    grants,
+    score: options.score ?? scoreExpectedTime,
+    findOwner: findUpstreamOwner,
+    isViewFresh: membership.isViewFresh,
+    markLeaving: (upstream) => noteLeaving(upstream, true),
+  });
+
+  peers.registerHandler(CHANNEL, (from, body) => {
+    const message = admissionMessageSchema.parse(body);
+    switch (message.type) {
+      case "ask":
+        if (!membership.isViewFresh() || !settings.getUpstreams().has(message.upstream)) {
+          throw new Error("this host cannot judge admission now; ask again");
+        }
+        return owners.answerAsk(from, message);
+      case "renew":
+        return owners.handleRenewal(from, message);
+      case "release":
+        return owners.handleRelease(message);
+      case "granted":
+        return client.handleGranted(from, message);
+      case "refused":
+        return client.handleRefused(message);
+    }
+  });
+
+  const renewGrants = () => {
+    grants.renewGrants();
+    timer = clock.startTimer(ADMISSION_LIMITS.renewMs, renewGrants);
+  };
 
   return {
     requestGrant: (request) => {
-      const candidates = [...options.settings.getUpstreams()]
-        .filter(([name, upstream]) =>
-          upstream.kind === "engine" && upstream.state === "live" &&
-          (upstream.models ?? []).includes(request.model) && !request.excluded.has(name)
-        )
-        .sort(([left], [right]) => (inFlight.get(left) ?? 0) - (inFlight.get(right) ?? 0));
-      const chosen = candidates[0];
-      if (chosen === undefined) {
-        const detail = `no live engine holds model "${request.model}"`;
-        const error = createResultError("noUpstream", detail, { retryAfterMs: RETRY_AFTER_MS });
-        return Promise.resolve(Left(error));
+      if (request.excluded.size === 0) {
+        retryBudget.noteFirstAttempt(settings.getFleetLimits().retryBudgetRatio);
+      } else if (!retryBudget.consumeRetry()) {
+        const detail = "the budget of retries inside the system is used up";
+        const retryAfterMs = ADMISSION_LIMITS.minRetryAfterMs;
+        return Promise.resolve(
+          Left(createResultError("retryBudgetSpent", detail, { retryAfterMs })),
+        );
       }
-      const [upstream, { url }] = chosen;
-      bumpInFlight(upstream, 1);
-      let isReleased = false;
-      return Promise.resolve(Right({
-        upstream,
-        url,
-        noteTokens: () => {},
-        release: () => {
-          bumpInFlight(upstream, isReleased ? 0 : -1);
-          isReleased = true;
-        },
-      }));
+      return client.requestGrant(request);
+    },
+    start: () => {
+      owners.start();
+      renewGrants();
+    },
+    stop: () => {
+      owners.stop();
+      timer?.cancel();
     },
-    start: () => {},
-    stop: () => {},
-    dumpState: () => ({ inFlight: Object.fromEntries(inFlight) }),
+    dumpState: () => ({
+      owned: owners.dumpState(),
+      waiting: client.countWaiting(),
+      grants: grants.countGrants(),
+      leaving: leaving.listLeaving(clock.readMonotonicMs()),
+    }),
   };
 }
--- /dev/null
+++ b/packages/daemon/src/admission/create_grant_table.ts
@@ -0,0 +1,136 @@
+import type { Clock } from "@crocussail/protocol";
+import type { AdmissionGrant, AdmissionOutcome } from "./admission.ts";
+import type { AdmissionMessage } from "./admission_message_schema.ts";
+import { ADMISSION_LIMITS } from "./constants.ts";
+import { ENTRY_CONVERSION } from "./convert_entry.ts";
+import type { CandidateView } from "./create_candidate_view.ts";
+import type { QueueEntry } from "./queue_entry.ts";
+
+/** Options of {@link createGrantTable}. */
+export interface GrantTableOptions {
+  readonly clock: Clock;
+  readonly view: CandidateView;
+  /** Sends to the present owner of an upstream. */
+  readonly sendToOwner: (upstream: string, message: AdmissionMessage) => void;
+}
+
+/** Grants that this entry daemon uses. */
+export interface GrantTable {
+  createGrant(
+    upstream: string,
+    url: string,
+    entry: QueueEntry,
+    isSelfGranted: boolean,
+  ): AdmissionGrant;
+  /** Grants of an upstream that this daemon gave to itself. */
+  countSelfGranted(upstream: string): number;
+  /** Reports every grant to the present owners, which renews the leases. */
+  renewGrants(): void;
+  countGrants(): number;
+}
+
+interface HeldGrant {
+  readonly upstream: string;
+  readonly entry: QueueEntry;
+  readonly isSelfGranted: boolean;
+  readonly grantedMs: number;
+  produced: number;
+  notedTokens: number;
+  notedMs: number;
+}
+
+/** Creates the table; the generations slice bounds the number of streams and so of grants. */
+export function createGrantTable(options: GrantTableOptions): GrantTable {
+  const { clock, view, sendToOwner } = options;
+  const held = new Map<string, HeldGrant>();
+
+  const noteProduced = (grant: HeldGrant, produced: number) => {
+    const nowMs = clock.readMonotonicMs();
+    if (grant.produced === 0 && produced > 0) {
+      view.speeds.noteFirstToken(grant.upstream, grant.entry.kind, nowMs - grant.grantedMs);
+      grant.notedTokens = produced;
+      grant.notedMs = nowMs;
+    }
+    grant.produced = Math.max(grant.produced, produced);
+  };
+
+  const releaseGrant = (key: string, grant: HeldGrant, outcome: AdmissionOutcome) => {
+    if (held.get(key) !== grant) {
+      return;
+    }
+    held.delete(key);
+    view.noteRelease(grant.upstream);
+    const isComplete = outcome === "finished";
+    if (isComplete) {
+      view.lengths.noteLength(grant.entry, grant.produced, clock.readMonotonicMs());
+    }
+    sendToOwner(grant.upstream, {
+      type: "release",
+      upstream: grant.upstream,
+      id: grant.entry.id,
+      ...(isComplete ? { produced: grant.produced } : {}),
+      isRefused: outcome === "notRun" || outcome === "lost",
+    });
+  };
+
+  const noteGap = (grant: HeldGrant, nowMs: number) => {
+    const fresh = grant.produced - grant.notedTokens;
+    if (fresh > 0) {
+      const gapMs = (nowMs - grant.notedMs) / fresh;
+      view.speeds.noteGap(grant.upstream, grant.entry.kind, gapMs);
+      grant.notedTokens = grant.produced;
+      grant.notedMs = nowMs;
+    }
+  };
+
+  return {
+    createGrant: (upstream, url, entry, isSelfGranted) => {
+      const nowMs = clock.readMonotonicMs();
+      const grant: HeldGrant = {
+        upstream,
+        entry,
+        isSelfGranted,
+        grantedMs: nowMs,
+        produced: 0,
+        notedTokens: 0,
+        notedMs: nowMs,
+      };
+      const key = `${upstream}\0${entry.id}`;
+      held.set(key, grant);
+      view.noteGrant(upstream);
+      return {
+        upstream,
+        url,
+        noteTokens: (produced) => noteProduced(grant, produced),
+        release: (outcome) => releaseGrant(key, grant, outcome),
+      };
+    },
+    countSelfGranted: (upstream) =>
+      [...held.values()]
+        .filter((grant) => grant.isSelfGranted && grant.upstream === upstream).length,
+    renewGrants: () => {
+      const nowMs = clock.readMonotonicMs();
+      const byUpstream = new Map<string, HeldGrant[]>();
+      for (const grant of held.values()) {
+        noteGap(grant, nowMs);
+        const grants = byUpstream.get(grant.upstream) ?? [];
+        grants.push(grant);
+        byUpstream.set(grant.upstream, grants);
+      }
+      for (const [upstream, grants] of byUpstream) {
+        for (let from = 0; from < grants.length; from += ADMISSION_LIMITS.maxRenewals) {
+          const part = grants.slice(from, from + ADMISSION_LIMITS.maxRenewals);
+          sendToOwner(upstream, {
+            type: "renew",
+            upstream,
+            grants: part.map(({ entry, produced }) => ({
+              entry: ENTRY_CONVERSION.toMessage(entry, nowMs),
+              produced,
+            })),
+          });
+        }
+      }
+    },
+    countGrants: () => held.size,
+  };
+}
--- a/packages/daemon/src/admission/create_leaving_list.ts
+++ b/packages/daemon/src/admission/create_leaving_list.ts
@@ -4,6 +4,8 @@
 export interface LeavingList {
   /** Records a sign; true when it is news. */
   markLeaving(upstream: string, nowMs: number, ttlMs?: number): boolean;
+  /** Takes the sign back; true when there was one. */
+  clearLeaving(upstream: string, nowMs: number): boolean;
   isLeaving(upstream: string, nowMs: number): boolean;
   listLeaving(nowMs: number): readonly string[];
 }
@@ -23,6 +25,11 @@
       }
       return isNews;
     },
+    clearLeaving: (upstream, nowMs) => {
+      const wasLeaving = isLeaving(upstream, nowMs);
+      untilMs.delete(upstream);
+      return wasLeaving;
+    },
     isLeaving,
     listLeaving: (nowMs) => [...untilMs.keys()].filter((upstream) => isLeaving(upstream, nowMs)),
   };
--- /dev/null
+++ b/packages/daemon/src/admission/create_refusal.ts
@@ -0,0 +1,19 @@
+import { createResultError } from "@crocussail/protocol";
+import type { ResultError } from "@crocussail/protocol";
+import type { RefusalReason } from "./owner_effect.ts";
+
+const DETAILS: Record<RefusalReason, string> = {
+  late: "no engine can complete this answer by its deadline",
+  full: "the queues of the engines are full",
+  leaving: "the engines of this model are leaving",
+  tooLarge: "the prompt is larger than an engine's memory",
+};
+
+/** Creates the final answer for a request that owners refused; nothing of it ran. */
+export function createRefusal(reason: RefusalReason, retryAfterMs: number): ResultError {
+  if (reason === "tooLarge") {
+    return createResultError("promptTooLarge", DETAILS[reason]);
+  }
+  const code = reason === "leaving" ? "noUpstream" : "overloaded";
+  return createResultError(code, DETAILS[reason], { retryAfterMs });
+}
--- a/packages/daemon/src/admission/decide_owner.ts
+++ b/packages/daemon/src/admission/decide_owner.ts
@@ -137,6 +137,9 @@
   nowMs: number,
   projectPeak: (deviations: number) => number,
 ): boolean {
+  if (state.report === undefined && state.running.size >= ADMISSION_LIMITS.firstGrants) {
+    return false;
+  }
   const isUrgent = entry.urgency <= ADMISSION_LIMITS.urgentClass;
   if (isUrgent && nowMs - entry.askedMs >= ADMISSION_LIMITS.urgentPatienceMs) {
     return state.running.size < state.maxBatch;
@@ -237,10 +240,12 @@
 ): OwnerEffect[] {
   const previous = state.report;
   state.report = report;
+  state.capacityTokens = report.capacityTokens;
   if (previous === undefined) {
     state.foreignTokens = Math.max(0, report.usedTokens - computeHeld(state.running.values()));
   } else {
-    state.foreignTokens = Math.min(state.foreignTokens, report.usedTokens);
+    const foreign = Math.max(0, report.usedTokens - computeHeld(state.running.values()));
+    state.foreignTokens = Math.min(state.foreignTokens, foreign);
   }
   const preempted = report.preemptions - (previous?.preemptions ?? report.preemptions);
   if (preempted > 0) {
--- /dev/null
+++ b/packages/daemon/src/admission/leaving_notice_schema.ts
@@ -0,0 +1,7 @@
+import { z } from "zod";
+
+/** Payload of the notices that an upstream is leaving or has returned. */
+export const leavingNoticeSchema = z.strictObject({
+  upstream: z.string().min(1).max(255),
+  isLeaving: z.boolean(),
+});
--- a/packages/daemon/src/admission/owner_state.ts
+++ b/packages/daemon/src/admission/owner_state.ts
@@ -24,7 +24,8 @@
 export interface OwnerState {
   readonly upstream: string;
   readonly maxBatch: number;
-  readonly capacityTokens: number;
+  /** Memory of the engine; its own report replaces the published figure. */
+  capacityTokens: number;
   /** False grants everything at once, as a baseline. */
   readonly isGated: boolean;
   readonly predictor: LengthPredictor;
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from "node:net";
 import type { EngineClient } from "./adapters/engine_client.ts";
 import type { ProcessUsage } from "./adapters/process_usage.ts";
+import type { LoadClient } from "./adapters/load_client.ts";
 import type { ServiceClient } from "./adapters/service_client.ts";
 import type { SettingsSource } from "./adapters/settings_source.ts";
 import { createAdmission } from "./admission/mod.ts";
@@ -27,6 +28,7 @@
   readonly metrics: Metrics;
   readonly settingsSource: SettingsSource;
   readonly engine: EngineClient;
+  readonly load: LoadClient;
   readonly service: ServiceClient;
   readonly readUsage: () => ProcessUsage;
   /** Certificate and key of the callers' listener. */
@@ -84,7 +86,12 @@
   };
   const membership = createMembership({ context, settings: settings.view });
   settings.joinFleet({ peers, membership });
-  const admission = createAdmission({ settings: settings.view });
+  const admission = createAdmission({
+    context,
+    settings: settings.view,
+    membership,
+    load: options.load,
+  });
   const generations = createGenerations({
     context,
     settings: settings.view,
--- a/packages/daemon/src/create_process_daemon.ts
+++ b/packages/daemon/src/create_process_daemon.ts
@@ -1,6 +1,7 @@
 import { createConsolaLogger } from "./adapters/create_consola_logger.ts";
 import { createEtcdSettingsSource } from "./adapters/create_etcd_settings_source.ts";
 import { createHttpEngineClient } from "./adapters/create_http_engine_client.ts";
+import { createHttpLoadClient } from "./adapters/create_http_load_client.ts";
 import { createHttpServiceClient } from "./adapters/create_http_service_client.ts";
 import { createNullMetrics } from "./adapters/create_null_metrics.ts";
 import { createProcessUsageReader } from "./adapters/create_process_usage_reader.ts";
@@ -48,6 +49,7 @@
       : createStatsdMetrics({ ...metrics, tags: { host: host.name } }),
     settingsSource: createEtcdSettingsSource({ urls: config.settingsService.urls }),
     engine: createHttpEngineClient(),
+    load: createHttpLoadClient(),
     service: wrapService(createHttpServiceClient()),
     readUsage: createProcessUsageReader(),
     ...(options.tls === undefined ? {} : { tls: options.tls }),
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -37,6 +37,16 @@
     unit: "placements",
     meaning: "Further placements of a request before its first token",
   },
+  "admission.queued": {
+    type: "gauge",
+    unit: "requests",
+    meaning: "Requests in the queue of an upstream that this daemon owns, by tag `upstream`",
+  },
+  "admission.headroom": {
+    type: "gauge",
+    unit: "ratio",
+    meaning: "Share of an upstream's memory that admission leaves free, by tag `upstream`",
+  },
   "orders.running": {
     type: "gauge",
     unit: "calls",
