--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -141,6 +141,7 @@
     settings.stop();
     membership.stop();
     admission.stop();
+    orders.stop();
     generations.stop();
     await callerServer.close();
     await operatorServer.close();
@@ -151,7 +152,7 @@
     clock,
     logger,
     countRunning: () => generations.countRunning() + orders.countRunning(),
-    stopDaemon: stop,
+    stopDaemon: () => orders.handOverDuties().then(stop),
   });
   const operatorServer = createStateDump({
     config,
