Answer entry by shares, and leave without cutting a request

Cause: an entry answer named every published host with its size, also from a daemon that had just woken; a shutdown went on being named, and ended as soon as nothing ran. Change: entry answers choose 8 hosts of the nearest data centre by rendezvous hashing and give them shares by size and load, none above 0.3 where there are four; a daemon that distrusts its view waits 1.5 s and then refuses. A leaving daemon says so at once, accepts until the last answer that names it has expired, closes its listener, waits for every request and hands its duties over; a second signal is reported only. A listener that cannot open says which line to change.

--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -8,6 +8,7 @@
 import { createAdmission } from "./admission/mod.ts";
 import type { DaemonContext } from "./common/daemon_context.ts";
 import type { ResolvedDaemonConfig } from "./config/mod.ts";
+import { openListener } from "./open_listener.ts";
 import { createEntry } from "./entry/mod.ts";
 import { createGenerations } from "./generations/mod.ts";
 import { createCallerServer } from "./http/mod.ts";
@@ -31,6 +32,8 @@
   readonly load: LoadClient;
   readonly service: ServiceClient;
   readonly readUsage: () => ProcessUsage;
+  /** Processor time of this process since its start, in milliseconds. */
+  readonly readCpuMs: () => number;
   /** Certificate and key of the callers' listener. */
   readonly tls?: TlsMaterial;
 }
@@ -110,6 +113,7 @@
     settings: settings.view,
     membership,
     createKeyPrefix: orders.createKeyPrefix,
+    readCpuMs: options.readCpuMs,
   });
 
   const callerServer = createCallerServer({
@@ -120,6 +124,25 @@
     ...(options.tls === undefined ? {} : { tls: options.tls }),
     createRequestId: () => random.nextHex(REQUEST_ID_BYTES),
   });
+  const shutdown = createShutdown({
+    clock,
+    logger,
+    server: callerServer,
+    readEntryTtlMs: () => settings.view.getFleetLimits().entryTtlMs,
+    countHosts: () => membership.listLiveHosts().length + 1,
+    stopDaemon: () => stop(),
+  });
+  shutdown.registerDuty({ name: "generations", countRunning: generations.countRunning });
+  shutdown.registerDuty({
+    name: "orders",
+    countRunning: orders.countRunning,
+    finishLeaving: orders.handOverDuties,
+  });
+  shutdown.registerDuty({
+    name: "membership",
+    startLeaving: membership.startLeaving,
+    finishLeaving: membership.finishLeaving,
+  });
   generations.registerRoutes(callerServer);
   orders.registerRoutes(callerServer);
   entry.registerRoutes(callerServer);
@@ -140,6 +163,7 @@
     reporter.stop();
     settings.stop();
     membership.stop();
+    entry.stop();
     admission.stop();
     orders.stop();
     generations.stop();
@@ -148,12 +172,6 @@
     await peers.close();
     logger.writeEvent("daemonStopped");
   };
-  const shutdown = createShutdown({
-    clock,
-    logger,
-    countRunning: () => generations.countRunning() + orders.countRunning(),
-    stopDaemon: () => orders.handOverDuties().then(stop),
-  });
   const operatorServer = createStateDump({
     config,
     incarnation,
@@ -165,6 +183,7 @@
       admission: admission.dumpState,
       generations: generations.dumpState,
       orders: orders.dumpState,
+      shutdown: shutdown.dumpState,
     },
   });
 
@@ -172,13 +191,30 @@
     host: config.host.name,
     start: async () => {
       const { listen } = config;
-      const peer = await peers.startListening(listen.address, listen.peerPort);
+      const { address, operatorAddress } = listen;
+      const names = { addressName: "listen.address", address };
+      const peer = await openListener(
+        { ...names, portName: "listen.peer_port", port: listen.peerPort },
+        (target) => peers.startListening(target.address, target.port),
+      );
       await settings.start();
       membership.start();
+      entry.start();
       admission.start();
       reporter.start();
-      await callerServer.listen({ host: listen.address, port: listen.callerPort });
-      await operatorServer.listen({ host: listen.operatorAddress, port: listen.operatorPort });
+      await openListener(
+        { ...names, portName: "listen.caller_port", port: listen.callerPort },
+        ({ port }) => callerServer.listen({ host: address, port }),
+      );
+      await openListener(
+        {
+          addressName: "listen.operator_address",
+          address: operatorAddress,
+          portName: "listen.operator_port",
+          port: listen.operatorPort,
+        },
+        ({ port }) => operatorServer.listen({ host: operatorAddress, port }),
+      );
       const caller = (callerServer.server.address() as AddressInfo).port;
       const operator = (operatorServer.server.address() as AddressInfo).port;
       logger.writeEvent("daemonStarted", { caller, peer, operator });
--- a/packages/daemon/src/create_process_daemon.ts
+++ b/packages/daemon/src/create_process_daemon.ts
@@ -4,6 +4,7 @@
 import { createHttpLoadClient } from "./adapters/create_http_load_client.ts";
 import { createHttpServiceClient } from "./adapters/create_http_service_client.ts";
 import { createNullMetrics } from "./adapters/create_null_metrics.ts";
+import { readCpuMs } from "./adapters/read_cpu_ms.ts";
 import { createProcessUsageReader } from "./adapters/create_process_usage_reader.ts";
 import { createStatsdMetrics } from "./adapters/create_statsd_metrics.ts";
 import { createSystemClock } from "./adapters/create_system_clock.ts";
@@ -52,6 +53,7 @@
     load: createHttpLoadClient(),
     service: wrapService(createHttpServiceClient()),
     readUsage: createProcessUsageReader(),
+    readCpuMs,
     ...(options.tls === undefined ? {} : { tls: options.tls }),
   });
 }
--- a/packages/daemon/src/daemon_command.ts
+++ b/packages/daemon/src/daemon_command.ts
@@ -4,6 +4,7 @@
 import { createProcessDaemon } from "./create_process_daemon.ts";
 
 const EXIT_INVALID_SETTINGS = 2;
+const EXIT_CANNOT_START = 3;
 
 /** `crocussaild --settings FILE`: runs one daemon until it is told to leave. */
 export class DaemonCommand extends Command {
@@ -32,7 +33,13 @@
       debugAreas: this.debug.split(",").filter((area) => area !== ""),
       ...(tls === undefined ? {} : { tls }),
     });
-    await daemon.start();
+    try {
+      await daemon.start();
+    } catch (error) {
+      this.context.stderr.write(`${this.settings}: ${(error as Error).message}\n`);
+      await daemon.stop();
+      return EXIT_CANNOT_START;
+    }
     await new Promise<void>((resolve) => {
       const leave = () => daemon.shutdown().then(resolve);
       process.on("SIGTERM", leave);
--- a/packages/daemon/src/entry/create_entry.ts
+++ b/packages/daemon/src/entry/create_entry.ts
@@ -1,43 +1,114 @@
-import type { FastifyInstance } from "fastify";
+import { createResultError } from "@crocussail/protocol";
+import type { ResultError } from "@crocussail/protocol";
+import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import { Right } from "purify-ts";
+import type { Either } from "purify-ts";
+import { z } from "zod";
 import type { DaemonContext } from "../common/daemon_context.ts";
+import { authenticateTeam, sendProblem } from "../http/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { SettingsView } from "../settings/mod.ts";
+import { ENTRY_LIMITS } from "./constants.ts";
+import { createLoadReports } from "./create_load_reports.ts";
+import { decideEntry } from "./decide_entry.ts";
+import { listEntryCandidates } from "./list_entry_candidates.ts";
 
 /** Options of {@link createEntry}. */
 export interface EntryOptions {
-  readonly context: Pick<DaemonContext, "config">;
+  readonly context: Pick<DaemonContext, "config" | "clock">;
   readonly settings: SettingsView;
   readonly membership: Membership;
   readonly createKeyPrefix: () => Promise<string | undefined>;
+  /** Processor time of this process since its start, in milliseconds. */
+  readonly readCpuMs: () => number;
 }
 
 /** Entry slice: tells callers which hosts to use. */
 export interface Entry {
   registerRoutes(server: FastifyInstance): void;
+  start(): void;
+  stop(): void;
 }
 
+const RETRY_AFTER_MS = 1_000;
+const nameSchema = z.string().max(ENTRY_LIMITS.maxNameCharacters);
+const querySchema = z.object({ team: nameSchema.optional(), data_centre: nameSchema.optional() });
+
 /** Creates the entry slice. */
 export function createEntry(options: EntryOptions): Entry {
-  const { settings, membership, context } = options;
-  const listAddresses = () =>
-    membership.listLiveHosts().flatMap((name) => {
-      const host = settings.getHosts().get(name);
-      return host === undefined ? [] : [{
-        host: name,
-        address: host.address,
-        port: host.callerPort,
-        data_centre: host.dataCentre,
-        weight: host.size,
+  const { settings, membership, context: { config, clock } } = options;
+  const loads = createLoadReports({
+    host: config.host.name,
+    clock,
+    membership,
+    readCpuMs: options.readCpuMs,
+  });
+
+  const waitForFreshView = async (): Promise<boolean> => {
+    const endMs = clock.readMonotonicMs() + ENTRY_LIMITS.freshWaitMs;
+    while (!membership.isViewFresh() && clock.readMonotonicMs() < endMs) {
+      await new Promise<void>((resolve) => {
+        clock.startTimer(ENTRY_LIMITS.freshCheckMs, resolve);
+      });
+    }
+    return membership.isViewFresh();
+  };
+
+  /** A key that is sent must be valid; without one, the team's name only steers the spread. */
+  const readTeam = (request: FastifyRequest, hint: string): Either<ResultError, string> =>
+    request.headers.authorization === undefined
+      ? Right(hint)
+      : authenticateTeam(request, settings).map((team) => team.name);
+
+  const listAddresses = (dataCentre: string, caller: string) => {
+    const hosts = settings.getHosts();
+    const candidates = listEntryCandidates({
+      hosts,
+      live: membership.listLiveHosts(),
+      undoubted: membership.listUndoubtedHosts(),
+      getFactor: loads.getFactor,
+    });
+    return decideEntry({ candidates, dataCentre, caller }).flatMap(({ host, weight }) => {
+      const found = hosts.get(host);
+      return found === undefined ? [] : [{
+        host,
+        address: found.address,
+        port: found.callerPort,
+        data_centre: found.dataCentre,
+        weight,
       }];
     });
+  };
+
+  const answerEntry = async (request: FastifyRequest, reply: FastifyReply) => {
+    const query = querySchema.safeParse(request.query);
+    if (!query.success) {
+      const detail = "team and data_centre may be given once, each up to 255 characters";
+      return sendProblem(reply, createResultError("invalidRequest", detail));
+    }
+    const team = readTeam(request, query.data.team ?? "");
+    if (team.isLeft()) {
+      return sendProblem(reply, team.extract() as ResultError);
+    }
+    if (!await waitForFreshView()) {
+      const detail = "this host was paused or has just started and does not trust its view yet";
+      const retry = { retryAfterMs: RETRY_AFTER_MS };
+      return sendProblem(reply, createResultError("notReady", detail, retry));
+    }
+    const caller = `${team.extract()}\0${request.ip}`;
+    return {
+      host: config.host.name,
+      ttl_ms: settings.getFleetLimits().entryTtlMs,
+      addresses: listAddresses(query.data.data_centre ?? config.host.dataCentre, caller),
+      key_prefix: await options.createKeyPrefix(),
+    };
+  };
+
   return {
     registerRoutes: (server) => {
-      server.get("/v1/entry", async () => ({
-        host: context.config.host.name,
-        ttl_ms: settings.getFleetLimits().entryTtlMs,
-        addresses: listAddresses(),
-        key_prefix: await options.createKeyPrefix(),
-      }));
+      server.get("/v1/entry", answerEntry);
     },
+    start: loads.start,
+    stop: loads.stop,
   };
 }
--- a/packages/daemon/src/entry/mod.ts
+++ b/packages/daemon/src/entry/mod.ts
@@ -1,3 +1,5 @@
 /** Entry: the answer that tells callers which hosts to use. @module */
 export { createEntry } from "./create_entry.ts";
 export type { Entry, EntryOptions } from "./create_entry.ts";
+export { decideEntry } from "./decide_entry.ts";
+export type { EntryCandidate, EntryChoice } from "./decide_entry.ts";
--- a/packages/daemon/src/membership/constants.ts
+++ b/packages/daemon/src/membership/constants.ts
@@ -24,6 +24,8 @@
   mismatchMs: 8_000,
   /** Gap between two observations of the clock that counts as a pause of this process. */
   pauseMs: 2_000,
+  /** Time between two pulls while the view is distrusted. */
+  freshPullIntervalMs: 500,
   /** Peers whose view must arrive before this daemon trusts its own again. */
   freshReplies: 2,
   /** Time after which a started daemon trusts its view without a reply. */
--- a/packages/daemon/src/membership/create_membership.ts
+++ b/packages/daemon/src/membership/create_membership.ts
@@ -212,7 +212,9 @@
       listeners.set(topic, [...(listeners.get(topic) ?? []), listener]);
     },
     startLeaving: () => runEffects(decideLeave(state, MEMBER_STATUS.leaving)),
-    finishLeaving: () => runEffects(decideLeave(state, MEMBER_STATUS.left)),
+    finishLeaving: async () => {
+      await Promise.all(decideLeave(state, MEMBER_STATUS.left).map(runEffect));
+    },
     start: () => {
       unsubscribe = settings.subscribe(updateHosts);
       updateHosts();
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -37,8 +37,8 @@
   subscribeNotices(topic: string, listener: (notice: Notice) => void): void;
   /** Tells the fleet that this host takes no new duties or callers. */
   startLeaving(): void;
-  /** Tells the fleet that this host has left; the last message before the links close. */
-  finishLeaving(): void;
+  /** Tells the fleet that this host has left; resolves when the neighbours have been told. */
+  finishLeaving(): Promise<void>;
   start(): void;
   stop(): void;
   dumpState(): unknown;
--- a/packages/daemon/src/shutdown/create_shutdown.ts
+++ b/packages/daemon/src/shutdown/create_shutdown.ts
@@ -1,46 +1,154 @@
 import type { Clock, Logger } from "@crocussail/protocol";
+import type { FastifyInstance } from "fastify";
+import { SHUTDOWN_LIMITS } from "./constants.ts";
+import { decideShutdown } from "./decide_shutdown.ts";
+import type { ShutdownEffect, ShutdownEvent } from "./decide_shutdown.ts";
+import type { LeavingDuty } from "./leaving_duty.ts";
+import type { ShutdownState } from "./shutdown_state.ts";
 
 /** Options of {@link createShutdown}. */
 export interface ShutdownOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Number of requests still running on this daemon. */
-  readonly countRunning: () => number;
+  /** The callers' server; its open requests are waited for. */
+  readonly server: FastifyInstance;
+  readonly readEntryTtlMs: () => number;
+  /** Hosts believed live, this one included. */
+  readonly countHosts: () => number;
   /** Ends the daemon once nothing runs any more. */
   readonly stopDaemon: () => Promise<void>;
 }
 
 /** Shutdown slice: ends the daemon without cutting a request. */
 export interface Shutdown {
-  /** Starts a graceful shutdown; resolves when the daemon has ended. */
+  /** Registers a slice that has work to end or state to hand over. */
+  registerDuty(duty: LeavingDuty): void;
+  /** Starts a graceful shutdown; resolves when the daemon has ended. A repeat is only reported. */
   startShutdown(): Promise<void>;
   isLeaving(): boolean;
+  dumpState(): unknown;
 }
 
-const CHECK_MS = 20;
-
-/** Creates the shutdown slice. */
+/** Creates the shutdown slice; call it before routes are added to the server. */
 export function createShutdown(options: ShutdownOptions): Shutdown {
+  const { clock, logger, server } = options;
+  const duties: LeavingDuty[] = [];
+  const state: ShutdownState = {
+    phase: "serving",
+    startedAtMs: 0,
+    closeAtMs: 0,
+    nextReportMs: 0,
+    repeats: 0,
+  };
+  let openRequests = 0;
   let ended: Promise<void> | undefined;
-  const waitForRequests = () =>
-    new Promise<void>((resolve) => {
-      const check = () => {
-        if (options.countRunning() === 0) {
-          resolve();
-          return;
-        }
-        options.clock.startTimer(CHECK_MS, check);
+  let settleEnd = () => {};
+
+  server.addHook("onRequest", (_request, reply, done) => {
+    openRequests += 1;
+    reply.raw.once("close", () => {
+      openRequests -= 1;
+    });
+    if (state.phase !== "serving") {
+      reply.raw.shouldKeepAlive = false;
+    }
+    done();
+  });
+
+  const countByDuty = () => {
+    const entries = duties.flatMap(({ name, countRunning }) =>
+      countRunning === undefined ? [] : [[name, countRunning()] as const]
+    );
+    return Object.fromEntries([["requests", openRequests] as const, ...entries]);
+  };
+  const countRunning = () => Object.values(countByDuty()).reduce((sum, count) => sum + count, 0);
+  const buildReport = () => ({
+    phase: state.phase,
+    elapsedMs: Math.round(clock.readMonotonicMs() - state.startedAtMs),
+    ...countByDuty(),
+  });
+
+  const handOver = async (duty: LeavingDuty) => {
+    if (duty.finishLeaving === undefined) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      const fail = (reason: string) => {
+        logger.writeEvent("handOverFailed", { duty: duty.name, reason });
+        resolve();
       };
-      check();
+      const timer = clock.startTimer(
+        SHUTDOWN_LIMITS.handOverTimeoutMs,
+        () => fail(`not ended within ${SHUTDOWN_LIMITS.handOverTimeoutMs} ms`),
+      );
+      duty.finishLeaving?.().then(resolve, (error) => fail(String(error))).finally(timer.cancel);
     });
+  };
+
+  const finish = async () => {
+    for (const duty of duties) {
+      await handOver(duty);
+    }
+    await options.stopDaemon();
+    settleEnd();
+  };
+
+  const runEffect = (effect: ShutdownEffect) => {
+    switch (effect) {
+      case "announce":
+        logger.writeEvent("shutdownStarted", buildReport());
+        duties.forEach((duty) => duty.startLeaving?.());
+        break;
+      case "reportRepeat":
+        logger.writeEvent("shutdownRepeated", buildReport());
+        break;
+      case "closeListener":
+        logger.writeEvent("listenerClosed", buildReport());
+        server.server.close();
+        break;
+      case "reportRunning":
+        logger.writeEvent("shutdownWaiting", buildReport());
+        break;
+      case "finish":
+        finish();
+        break;
+    }
+  };
+  const handleEvent = (event: ShutdownEvent) =>
+    decideShutdown(state, event, clock.readMonotonicMs()).forEach(runEffect);
+
+  const tick = () => {
+    if (state.phase === "draining") {
+      server.server.closeIdleConnections();
+    }
+    handleEvent({ type: "tick", running: countRunning() });
+    if (state.phase !== "ending") {
+      clock.startTimer(SHUTDOWN_LIMITS.checkMs, tick);
+    }
+  };
+
   return {
+    registerDuty: (duty) => {
+      duties.push(duty);
+    },
     startShutdown: () => {
+      handleEvent({
+        type: "signal",
+        entryTtlMs: options.readEntryTtlMs(),
+        hosts: options.countHosts(),
+      });
       if (ended === undefined) {
-        options.logger.writeEvent("shutdownStarted", { running: options.countRunning() });
-        ended = waitForRequests().then(options.stopDaemon);
+        ended = new Promise((resolve) => {
+          settleEnd = resolve;
+        });
+        tick();
       }
       return ended;
     },
-    isLeaving: () => ended !== undefined,
+    isLeaving: () => state.phase !== "serving",
+    dumpState: () =>
+      state.phase === "serving"
+        ? { phase: state.phase, ...countByDuty() }
+        : { ...buildReport(), closesInMs: Math.max(0, state.closeAtMs - clock.readMonotonicMs()) },
   };
 }
--- a/packages/protocol/src/events/membership_events.ts
+++ b/packages/protocol/src/events/membership_events.ts
@@ -44,4 +44,28 @@
     title: "Notice exceeds its size limit and is not spread",
     action: "Report the topic to the developers",
   },
+  shutdownRepeated: {
+    number: 6007,
+    level: "warn",
+    title: "Told to end again while leaving; running requests are not cut",
+    action: "Wait; the fields name what still runs",
+  },
+  listenerClosed: {
+    number: 6008,
+    level: "info",
+    title: "Every answer naming this host has expired; the listener is closed",
+    action: "none",
+  },
+  shutdownWaiting: {
+    number: 6009,
+    level: "warn",
+    title: "Requests still run long after the listener closed",
+    action: "Wait, or cancel them at their callers; killing the process cuts them",
+  },
+  handOverFailed: {
+    number: 6010,
+    level: "error",
+    title: "A slice could not hand over its state; the shutdown goes on",
+    action: "Check the links of this host; orders guarded by it may answer unknown",
+  },
 } as const satisfies Record<string, EventEntry>;
