--- a/packages/daemon/src/generations/create_generation_handler.ts
+++ b/packages/daemon/src/generations/create_generation_handler.ts
@@ -32,6 +32,8 @@
       return sendProblem(reply, parsed.extract() as ResultError);
     }
     const request = parsed.extract() as GenerationRequest;
+    // The parsed body would otherwise stay in memory as long as the stream.
+    httpRequest.body = undefined;
     const fingerprint = digestRequest(team.name, request);
     const target = resolveModelTarget(request.model, team, settings);
     if (target.isLeft()) {
--- a/packages/daemon/src/generations/testing/create_test_services.ts
+++ b/packages/daemon/src/generations/testing/create_test_services.ts
@@ -46,6 +46,11 @@
     random: createSeededRandom(1),
     logger: { writeEvent: ignore },
     metrics: { increment: ignore, gauge: ignore, distribution: ignore },
+    peers: {
+      sendMessage: ignore,
+      registerHandler: ignore,
+      requestReply: () => Promise.resolve(Right({})),
+    },
     journal: { recordDecision: ignore, listEntries: () => [] },
   } as unknown as DaemonContext;
   const canceller = createCanceller({ ...context, engine, limits: GENERATION_DEFAULTS });
