Add the placement slice: wanted state, owners, fencing, keepers, load slots

Change: the wanted copy of each engine is a greedy matching by rendezvous weight over accepted settings; the owner of an engine observes it, decides one order at a time (load beside, serve after the ready check, unload last) and carries the settings revision as fencing number. Engines that do not check get orders only after peers confirm within a second. The last ready copy of a model in use goes only when another wanted engine was just seen serving one and took a keep order with the newer number. Loads pass a slot counter per data centre: a majority of the published hosts must promise, and earlier loads must have ended; fixed shares need no owner.

--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics, RandomSource } from "@crocussail/protocol";
 import type { AddressInfo } from "node:net";
 import type { EngineClient } from "./adapters/engine_client.ts";
+import type { PlacementClient } from "./adapters/placement_client.ts";
 import type { ProcessUsage } from "./adapters/process_usage.ts";
 import type { ServiceClient } from "./adapters/service_client.ts";
 import type { SettingsSource } from "./adapters/settings_source.ts";
@@ -14,6 +15,7 @@
 import { createMembership } from "./membership/mod.ts";
 import { createOrders } from "./orders/mod.ts";
 import { createPeerLink } from "./peers/mod.ts";
+import { createPlacement } from "./placement/mod.ts";
 import { createSettings } from "./settings/mod.ts";
 import { createShutdown } from "./shutdown/mod.ts";
 import { createJournal, createProcessReporter, createStateDump } from "./state_dump/mod.ts";
@@ -28,6 +30,7 @@
   readonly settingsSource: SettingsSource;
   readonly engine: EngineClient;
   readonly service: ServiceClient;
+  readonly placementClient: PlacementClient;
   readonly readUsage: () => ProcessUsage;
   /** Certificate and key of the callers' listener. */
   readonly tls?: TlsMaterial;
@@ -98,6 +101,13 @@
     membership,
     service: options.service,
   });
+  const placement = createPlacement({
+    context,
+    settings: settings.view,
+    membership,
+    client: options.placementClient,
+    isSettingsReady: settings.isReady,
+  });
   const entry = createEntry({
     context,
     settings: settings.view,
@@ -134,6 +144,7 @@
     settings.stop();
     membership.stop();
     admission.stop();
+    placement.stop();
     generations.stop();
     await callerServer.close();
     await operatorServer.close();
@@ -157,6 +168,7 @@
       admission: admission.dumpState,
       generations: generations.dumpState,
       orders: orders.dumpState,
+      placement: placement.dumpState,
     },
   });
 
@@ -168,6 +180,7 @@
       await settings.start();
       membership.start();
       admission.start();
+      placement.start();
       reporter.start();
       await callerServer.listen({ host: listen.address, port: listen.callerPort });
       await operatorServer.listen({ host: listen.operatorAddress, port: listen.operatorPort });
--- a/packages/daemon/src/create_process_daemon.ts
+++ b/packages/daemon/src/create_process_daemon.ts
@@ -1,6 +1,7 @@
 import { createConsolaLogger } from "./adapters/create_consola_logger.ts";
 import { createEtcdSettingsSource } from "./adapters/create_etcd_settings_source.ts";
 import { createHttpEngineClient } from "./adapters/create_http_engine_client.ts";
+import { createHttpPlacementClient } from "./adapters/create_http_placement_client.ts";
 import { createHttpServiceClient } from "./adapters/create_http_service_client.ts";
 import { createNullMetrics } from "./adapters/create_null_metrics.ts";
 import { createProcessUsageReader } from "./adapters/create_process_usage_reader.ts";
@@ -49,6 +50,7 @@
     settingsSource: createEtcdSettingsSource({ urls: config.settingsService.urls }),
     engine: createHttpEngineClient(),
     service: wrapService(createHttpServiceClient()),
+    placementClient: createHttpPlacementClient(),
     readUsage: createProcessUsageReader(),
     ...(options.tls === undefined ? {} : { tls: options.tls }),
   });
--- /dev/null
+++ b/packages/daemon/src/placement/run_engine_step_test.ts
@@ -0,0 +1,165 @@
+import { createResultError } from "@crocussail/protocol";
+import { expect } from "chai";
+import { Left, Right } from "purify-ts";
+import type { PlacementClient } from "../adapters/placement_client.ts";
+import type { PlacementOrder } from "../adapters/placement_order_schema.ts";
+import type { PlacementStatus } from "../adapters/placement_status_schema.ts";
+import { createManualClock } from "../common/create_manual_clock.ts";
+import { PLACEMENT_LIMITS } from "./constants.ts";
+import { runEngineStep } from "./run_engine_step.ts";
+import type { EngineStep, EngineStepTools } from "./run_engine_step.ts";
+
+type Copy = PlacementStatus["copies"][number];
+
+const makeCopy = (model: string, version: string, fields: Partial<Copy> = {}): Copy => ({
+  model,
+  version,
+  adapters: [],
+  role: "mixed",
+  state: "ready",
+  isServing: true,
+  ...fields,
+});
+
+/** Engine in memory; loads end at once, and those of bad versions fail their ready check. */
+const makeEngine = (copies: Copy[], options: { checks: boolean; bad?: string }) => {
+  const engine = { fence: 0, capacity: 2, copies, orders: [] as string[] };
+  const applyOrder = (order: PlacementOrder) => {
+    const { kind, model, version } = order;
+    const isNamed = (copy: Copy) => copy.model === model && copy.version === version;
+    if (options.checks && order.fence < engine.fence) {
+      return Left(createResultError("placementRefused", "old fencing number"));
+    }
+    engine.fence = Math.max(engine.fence, order.fence);
+    engine.orders.push(`${kind} ${model}@${version}`);
+    if (kind === "load") {
+      const state = version === options.bad ? "failed" : "ready";
+      engine.copies.push(makeCopy(model, version, { state, isServing: false }));
+    }
+    if (kind === "serve") {
+      engine.copies = engine.copies.map((copy) =>
+        copy.model === model ? { ...copy, isServing: isNamed(copy) } : copy
+      );
+    }
+    if (kind === "unload") {
+      engine.copies = engine.copies.filter((copy) => !isNamed(copy));
+    }
+    return Right(undefined);
+  };
+  return Object.assign(engine, { applyOrder });
+};
+type Engine = ReturnType<typeof makeEngine>;
+
+const makeTools = (
+  engines: Readonly<Record<string, Engine>>,
+  tools: Partial<EngineStepTools> = {},
+): EngineStepTools => {
+  const client: PlacementClient = {
+    observeEngine: (url) => {
+      const engine = engines[url];
+      return Promise.resolve(
+        engine === undefined
+          ? Left(createResultError("placementUnknown", url))
+          : Right({ fence: engine.fence, capacity: engine.capacity, copies: engine.copies }),
+      );
+    },
+    orderEngine: (url, order) =>
+      Promise.resolve(engines[url]?.applyOrder(order) ?? Right(undefined)),
+  };
+  return {
+    clock: createManualClock(),
+    logger: { writeEvent: () => {} },
+    client,
+    listKeepers: () => [],
+    confirmOrder: () => Promise.resolve(true),
+    acquireSlot: () => Promise.resolve({ startByMs: 1_000, release: () => {} }),
+    ...tools,
+  };
+};
+const makeStep = (fields: Partial<EngineStep> = {}): EngineStep => ({
+  engine: "e1",
+  url: "e1",
+  checksFencing: true,
+  wanted: makeCopy("m", "2"),
+  fence: 5,
+  inUse: new Set(["m", "other"]),
+  hasFailed: false,
+  ...fields,
+});
+
+describe("runEngineStep", () => {
+  it("changes a version without a moment in which none serves", async () => {
+    const e1 = makeEngine([makeCopy("m", "1")], { checks: true });
+    for (let step = 0; step < 4; step++) {
+      await runEngineStep(makeStep(), makeTools({ e1 }));
+      expect(e1.copies.filter((copy) => copy.isServing && copy.state === "ready")).to.have.length(
+        1,
+      );
+    }
+    expect(e1.orders).to.deep.equal(["load m@2", "serve m@2", "unload m@1"]);
+  });
+
+  it("leaves the old version serving when the new one fails its ready check", async () => {
+    const e1 = makeEngine([makeCopy("m", "1")], { checks: true, bad: "2" });
+    await runEngineStep(makeStep(), makeTools({ e1 }));
+    await runEngineStep(makeStep(), makeTools({ e1 }));
+    await runEngineStep(makeStep({ hasFailed: true }), makeTools({ e1 }));
+    expect(e1.orders).to.deep.equal(["load m@2", "unload m@2"]);
+    expect(e1.copies).to.deep.equal([makeCopy("m", "1")]);
+  });
+
+  it("never unloads the last ready copy of a model in use", async () => {
+    const e1 = makeEngine([makeCopy("m", "2"), makeCopy("other", "1")], { checks: true });
+    const { decision } = await runEngineStep(makeStep(), makeTools({ e1 }));
+    expect(decision).to.deep.equal({ type: "wait", reason: "full" });
+    expect(e1.copies).to.have.length(2);
+  });
+
+  it("raises the fencing number of the copy that stays, so that a late owner cannot unload it", async () => {
+    const e1 = makeEngine([makeCopy("m", "2"), makeCopy("other", "1")], { checks: true });
+    const e2 = makeEngine([makeCopy("m", "2"), makeCopy("other", "1")], { checks: true });
+    const newer = makeTools({ e1, e2 }, { listKeepers: () => ["e2"] });
+    await runEngineStep(makeStep({ fence: 6 }), newer);
+    expect(e1.orders).to.deep.equal(["unload other@1"]);
+    const late = makeTools({ e1, e2 }, { listKeepers: () => ["e1"] });
+    await runEngineStep(makeStep({ engine: "e2", url: "e2", fence: 5 }), late);
+    expect(e2.copies.map((copy) => copy.model)).to.include("other");
+  });
+
+  const unsent: readonly {
+    title: string;
+    step?: Partial<EngineStep>;
+    tools: Partial<EngineStepTools>;
+  }[] = [
+    {
+      title: "peers do not confirm it, to an engine that does not check",
+      step: { checksFencing: false },
+      tools: { confirmOrder: () => Promise.resolve(false) },
+    },
+    { title: "there is no slot", tools: { acquireSlot: () => Promise.resolve(undefined) } },
+  ];
+  for (const { title, step, tools } of unsent) {
+    it(`sends no load when ${title}`, async () => {
+      const e1 = makeEngine([], { checks: true });
+      await runEngineStep(makeStep(step), makeTools({ e1 }, tools));
+      expect(e1.orders).to.deep.equal([]);
+    });
+  }
+
+  it("drops an order when the process wakes late, and gives the slot back", async () => {
+    const e1 = makeEngine([], { checks: false });
+    const clock = createManualClock();
+    let released = 0;
+    const tools = makeTools({ e1 }, {
+      clock,
+      acquireSlot: () => {
+        clock.advance(PLACEMENT_LIMITS.confirmMs + 1);
+        return Promise.resolve({ startByMs: 60_000, release: () => released++ });
+      },
+    });
+    const { slot } = await runEngineStep(makeStep({ checksFencing: false }), tools);
+    expect(e1.orders).to.deep.equal([]);
+    expect(slot).to.equal(undefined);
+    expect(released).to.equal(1);
+  });
+});
--- a/packages/protocol/src/result_codes/placement_result_codes.ts
+++ b/packages/protocol/src/result_codes/placement_result_codes.ts
@@ -9,4 +9,11 @@
     title: "Engine refused a placement order",
     advice: "Check the fencing number shown by the engine",
   },
+  placementUnknown: {
+    number: 7001,
+    status: 502,
+    ran: "unknown",
+    title: "Engine did not answer a placement request",
+    advice: "Check the engine; its state is observed before the next order",
+  },
 } as const satisfies Record<string, ResultCodeEntry>;
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -2,6 +2,12 @@
 export { createEngine } from "./engine/create_engine.ts";
 export type { Engine, EngineOptions } from "./engine/create_engine.ts";
 export type { EngineEvent } from "./engine/engine_event.ts";
+export { createPlacementEngine } from "./placement_engine/create_placement_engine.ts";
+export type {
+  EngineCopy,
+  PlacementEngine,
+  PlacementEngineOptions,
+} from "./placement_engine/create_placement_engine.ts";
 export { createPlainService } from "./service/create_plain_service.ts";
 export type { PlainService } from "./service/create_plain_service.ts";
 export { createSettingsService } from "./settings_service/create_settings_service.ts";
