--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -145,6 +145,7 @@
     membership.stop();
     admission.stop();
     placement.stop();
+    orders.stop();
     generations.stop();
     await callerServer.close();
     await operatorServer.close();
@@ -155,7 +156,7 @@
     clock,
     logger,
     countRunning: () => generations.countRunning() + orders.countRunning(),
-    stopDaemon: stop,
+    stopDaemon: () => orders.handOverDuties().then(stop),
   });
   const operatorServer = createStateDump({
     config,
