Ask for a sync again as soon as there is a peer to ask

Cause: a started daemon whose first tick came before any usable neighbour counted that tick as a sync, so it distrusted its view, and refused orders, for up to 5 s. This is the membership slice's file; its owner should look it over.

--- a/packages/daemon/src/membership/decide_tick.ts
+++ b/packages/daemon/src/membership/decide_tick.ts
@@ -119,6 +119,9 @@
     isDistrusted ? MEMBERSHIP_LIMITS.freshReplies + 1 : 1,
     (member) => isUsableNeighbour(state, member),
   );
+  if (peers.length === 0) {
+    return [];
+  }
   state.wantsSync = false;
   state.lastSyncMs = nowMs;
   return peers.map((host) => ({ type: "sync", host }));
