--- a/packages/daemon/src/admission/constants.ts
+++ b/packages/daemon/src/admission/constants.ts
@@ -75,8 +75,6 @@
   prefixTtlMs: 300_000,
   /** Pairs of upstream and kind whose speed is remembered. */
   maxSpeeds: 8_192,
-  /** Retries that the budget holds at most. */
-  maxRetryBudget: 20,
   /** Life of a sign that an upstream is leaving. */
   leavingTtlMs: 600_000,
   /** Upstreams remembered as leaving; the oldest sign is dropped. */
--- a/packages/daemon/src/admission/create_admission.ts
+++ b/packages/daemon/src/admission/create_admission.ts
@@ -1,6 +1,4 @@
-import { createResultError } from "@crocussail/protocol";
 import type { Timer } from "@crocussail/protocol";
-import { Left } from "purify-ts";
 import type { LoadClient } from "../adapters/load_client.ts";
 import type { DaemonContext } from "../common/daemon_context.ts";
 import type { Membership } from "../membership/mod.ts";
@@ -15,7 +13,6 @@
 import { createGrantTable } from "./create_grant_table.ts";
 import { createLeavingList } from "./create_leaving_list.ts";
 import { createOwnerService } from "./create_owner_service.ts";
-import { createRetryBudget } from "./create_retry_budget.ts";
 import { findOwner } from "./find_owner.ts";
 import { leavingNoticeSchema } from "./leaving_notice_schema.ts";
 import { scoreExpectedTime } from "./score_expected_time.ts";
@@ -55,7 +52,6 @@
   const { clock, peers } = context;
   const leaving = createLeavingList();
   const view = createCandidateView({ settings, leaving });
-  const retryBudget = createRetryBudget();
   let noticeCount = 0;
   let timer: Timer | undefined;
 
@@ -151,18 +147,7 @@
   };
 
   return {
-    requestGrant: (request) => {
-      if (request.excluded.size === 0) {
-        retryBudget.noteFirstAttempt(settings.getFleetLimits().retryBudgetRatio);
-      } else if (!retryBudget.consumeRetry()) {
-        const detail = "the budget of retries inside the system is used up";
-        const retryAfterMs = ADMISSION_LIMITS.minRetryAfterMs;
-        return Promise.resolve(
-          Left(createResultError("retryBudgetSpent", detail, { retryAfterMs })),
-        );
-      }
-      return client.requestGrant(request);
-    },
+    requestGrant: client.requestGrant,
     start: () => {
       owners.start();
       renewGrants();
--- /dev/null
+++ b/packages/daemon/src/admission/create_length_predictor_test.ts
@@ -0,0 +1,69 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { ADMISSION_LIMITS } from "./constants.ts";
+import { createLengthPredictor } from "./create_length_predictor.ts";
+
+const KEY = { team: "planners", kind: "plan", model: "plan-70b" };
+
+function learn(lengths: readonly number[], key = KEY) {
+  const predictor = createLengthPredictor();
+  lengths.forEach((length) => predictor.noteLength(key, length, 0));
+  return predictor;
+}
+
+describe("length predictor", () => {
+  it("is cautious without data", () => {
+    const rest = createLengthPredictor().predictRest({ ...KEY, produced: 0 });
+    expect(rest).to.be.above(500);
+  });
+
+  it("learns the lengths of a team's kind", () => {
+    const predictor = learn(Array.from({ length: 200 }, () => 60));
+    expect(predictor.predictRest({ ...KEY, produced: 0 })).to.be.within(40, 150);
+  });
+
+  it("expects more of an answer that has outlived the short ones", () => {
+    const predictor = learn(
+      Array.from({ length: 200 }, (_, index) => index % 10 === 0 ? 4_000 : 50),
+    );
+    const fresh = predictor.predictRest({ ...KEY, produced: 0 });
+    const old = predictor.predictRest({ ...KEY, produced: 500 });
+    expect(old).to.be.above(2 * fresh);
+  });
+
+  it("leans on the kind over all teams while a team is new", () => {
+    const predictor = learn(Array.from({ length: 200 }, () => 60), { ...KEY, team: "others" });
+    expect(predictor.predictRest({ ...KEY, produced: 0 })).to.be.below(200);
+  });
+
+  it("forgets old lengths", () => {
+    const predictor = learn(Array.from({ length: 100 }, () => 4_000));
+    const laterMs = 20 * ADMISSION_LIMITS.lengthHalfLifeMs;
+    for (let index = 0; index < 100; index++) {
+      predictor.noteLength(KEY, 50, laterMs);
+    }
+    expect(predictor.predictRest({ ...KEY, produced: 0 })).to.be.below(200);
+  });
+
+  it("takes a declared limit as a cap only", () => {
+    const predictor = learn(Array.from({ length: 200 }, () => 60));
+    expect(predictor.predictRest({ ...KEY, produced: 10, maxTokens: 20 })).to.be.at.most(10);
+    const uncapped = predictor.predictRest({ ...KEY, produced: 0 });
+    const capped = predictor.predictRest({ ...KEY, produced: 0, maxTokens: 1_000_000 });
+    expect(capped).to.be.closeTo(uncapped, 1e-6);
+  });
+
+  it("gives survival that starts at 1 and never rises", () => {
+    const lengths = fc.array(fc.integer({ min: 1, max: 60_000 }), { maxLength: 60 });
+    const produced = fc.integer({ min: 0, max: 40_000 });
+    fc.assert(
+      fc.property(lengths, produced, (observed, already) => {
+        const horizons = [0, 10, 100, 1_000, 10_000];
+        const survival = learn(observed).predictSurvival({ ...KEY, produced: already }, horizons);
+        return survival[0] === 1 &&
+          survival.every((value, index) => value >= 0 && value <= (survival[index - 1] ?? 1));
+      }),
+      { seed: 4, numRuns: 100 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/admission/create_queue_order_test.ts
@@ -0,0 +1,79 @@
+import { expect } from "chai";
+import { ADMISSION_LIMITS } from "./constants.ts";
+import { createQueueOrder } from "./create_queue_order.ts";
+import { createTeamService } from "./create_team_service.ts";
+import type { QueueEntry } from "./queue_entry.ts";
+import { makeEntry } from "./testing/make_entry.ts";
+
+function listInOrder(
+  entries: readonly QueueEntry[],
+  options: { served?: Record<string, number>; nowMs?: number } = {},
+): string[] {
+  const nowMs = options.nowMs ?? 0;
+  const service = createTeamService();
+  for (const [team, tokens] of Object.entries(options.served ?? {})) {
+    service.noteServed(team, tokens, nowMs);
+  }
+  const order = createQueueOrder(service, nowMs);
+  return [...entries].sort(order.compareEntries).map(({ id }) => id);
+}
+
+describe("queue order", () => {
+  const cases: [string, QueueEntry[], Parameters<typeof listInOrder>[1], string[]][] = [
+    [
+      "puts the more urgent class first",
+      [makeEntry("plan"), makeEntry("status", { urgency: 0 })],
+      {},
+      ["status", "plan"],
+    ],
+    [
+      "puts the team first that was served fewer tokens",
+      [makeEntry("a", { team: "large" }), makeEntry("b", { team: "small" })],
+      { served: { large: 9_000, small: 10 } },
+      ["b", "a"],
+    ],
+    [
+      "counts served tokens by the team's weight",
+      [makeEntry("a", { team: "large", weight: 100 }), makeEntry("b", { team: "small" })],
+      { served: { large: 9_000, small: 100 } },
+      ["a", "b"],
+    ],
+    [
+      "puts an entry that runs out of time before others of its class",
+      [makeEntry("a", { askedMs: 9_000 }), makeEntry("b", { team: "large", deadlineMs: 12_000 })],
+      { served: { large: 9_000 }, nowMs: 9_000 },
+      ["b", "a"],
+    ],
+    [
+      "raises a planner that has waited, so that it does not starve behind urgent work",
+      [
+        makeEntry("status", { urgency: 1, askedMs: 5 * ADMISSION_LIMITS.agingMs }),
+        makeEntry("plan", { deadlineMs: 900_000 }),
+      ],
+      { nowMs: 5 * ADMISSION_LIMITS.agingMs },
+      ["plan", "status"],
+    ],
+  ];
+  for (const [title, entries, options, expected] of cases) {
+    it(title, () => {
+      expect(listInOrder(entries, options)).to.deep.equal(expected);
+    });
+  }
+
+  it("shares tokens evenly between a flood of one team and a trickle of another", () => {
+    const service = createTeamService();
+    const tokens: Record<string, number> = { flood: 0, trickle: 0 };
+    for (let nowMs = 0; nowMs < 100_000; nowMs += 1_000) {
+      const entries = [
+        ...Array.from({ length: 20 }, (_, index) => makeEntry(`f${index}`, { team: "flood" })),
+        makeEntry("t", { team: "trickle", askedMs: nowMs }),
+      ].map((entry) => ({ ...entry, askedMs: nowMs, deadlineMs: nowMs + 60_000 }));
+      const first = createQueueOrder(service, nowMs).findFirst(entries) as QueueEntry;
+      const length = first.team === "flood" ? 400 : 100;
+      service.noteServed(first.team, length, nowMs);
+      tokens[first.team] = (tokens[first.team] ?? 0) + length;
+    }
+    const ratio = (tokens.flood as number) / (tokens.trickle as number);
+    expect(ratio).to.be.within(0.75, 1.34);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/admission/decide_owner_test.ts
@@ -0,0 +1,159 @@
+import { expect } from "chai";
+import { ADMISSION_LIMITS } from "./constants.ts";
+import { decideOwner } from "./decide_owner.ts";
+import type { LoadReport } from "./load_report.ts";
+import { createTestOwner } from "./testing/create_test_owner.ts";
+import type { TestOwner } from "./testing/create_test_owner.ts";
+import { makeEntry } from "./testing/make_entry.ts";
+
+const REPORT: LoadReport = {
+  running: 0,
+  waiting: 0,
+  usedTokens: 0,
+  capacityTokens: 1_000,
+  preemptions: 0,
+  leaving: false,
+};
+
+function askMany(owner: TestOwner, ids: readonly string[]): string[] {
+  return ids.flatMap((id) => owner.apply({ type: "ask", entry: makeEntry(id) }));
+}
+
+describe("owner decisions", () => {
+  it("grants while the projected peak fits, then queues, and grants on release", () => {
+    const owner = createTestOwner();
+    const effects = askMany(owner, ["a", "b", "c", "d", "e", "f"]);
+    expect(effects).to.deep.equal([
+      "grant a",
+      "grant b",
+      "grant c",
+      "grant d",
+      "place e",
+      "place f",
+    ]);
+    expect(owner.apply({ type: "release", id: "b", produced: 90 })).to.deep.equal(["grant e"]);
+  });
+
+  it("keeps the place of an entry that asks again, and repeats a grant that was given", () => {
+    const owner = createTestOwner();
+    askMany(owner, ["a", "b", "c", "d", "e", "f"]);
+    expect(askMany(owner, ["e", "a"])).to.deep.equal(["place e", "grant a"]);
+    expect(owner.state.queue.size).to.equal(2);
+    expect(owner.state.running.size).to.equal(4);
+  });
+
+  it("frees the memory of a grant whose entry daemon has crashed", () => {
+    const owner = createTestOwner();
+    askMany(owner, ["a", "b", "c", "d", "e"]);
+    const renewedMs = ADMISSION_LIMITS.grantLeaseMs - 1;
+    for (const id of ["b", "c", "d"]) {
+      owner.apply({ type: "tokens", id, produced: 1 }, renewedMs);
+    }
+    const effects = owner.apply({ type: "tick" }, ADMISSION_LIMITS.grantLeaseMs);
+    expect(effects).to.deep.equal(["grant e"]);
+    expect([...owner.state.running.keys()]).to.deep.equal(["b", "c", "d", "e"]);
+  });
+
+  const refusals: [string, TestOwner, Parameters<typeof makeEntry>[1], string][] = [
+    ["a prompt larger than the memory", createTestOwner(), { promptTokens: 1_000 }, "tooLarge"],
+    ["work for a leaving engine", createTestOwner({ leaving: true }), {}, "leaving"],
+  ];
+  for (const [what, owner, changes, reason] of refusals) {
+    it(`refuses ${what} at once`, () => {
+      const effects = owner.apply({ type: "ask", entry: makeEntry("a", changes) });
+      expect(effects).to.deep.equal([`refuse a ${reason}`]);
+      expect(owner.state.queue.size).to.equal(0);
+      expect(owner.state.running.size).to.equal(0);
+    });
+  }
+
+  it("refuses at once what cannot be in time, with the delay after which it could", () => {
+    const owner = createTestOwner();
+    askMany(owner, ["a", "b", "c", "d"]);
+    const entry = makeEntry("late", { deadlineMs: 100 });
+    const [effect] = decideOwner(owner.state, { type: "ask", entry }, 0);
+    expect(effect).to.deep.include({ type: "refuse", id: "late", reason: "late" });
+    expect(effect).to.have.property("retryAfterMs").at.least(ADMISSION_LIMITS.minRetryAfterMs);
+    expect(owner.apply({ type: "release", id: "a" })).to.deep.equal([]);
+  });
+
+  it("refuses a queued entry as soon as its deadline cannot be met", () => {
+    const owner = createTestOwner();
+    askMany(owner, ["a", "b", "c", "d"]);
+    owner.apply({ type: "ask", entry: makeEntry("e", { deadlineMs: 5_000 }) });
+    expect(owner.apply({ type: "tick" }, 4_000)).to.deep.equal([]);
+    expect(owner.apply({ type: "tick" }, 4_990)).to.deep.equal(["refuse e late"]);
+  });
+
+  const signs: [string, (owner: TestOwner) => string[]][] = [
+    [
+      "the engine's report",
+      (owner) => owner.apply({ type: "report", report: { ...REPORT, leaving: true } }),
+    ],
+    ["any other sign", (owner) => owner.apply({ type: "leave" })],
+  ];
+  for (const [sign, applySign] of signs) {
+    it(`gives a leaving engine nothing new after ${sign}, and hands its queue back`, () => {
+      const owner = createTestOwner();
+      askMany(owner, ["a", "b", "c", "d", "e"]);
+      expect(applySign(owner)).to.deep.equal(["refuse e leaving"]);
+      const after = [
+        ...owner.apply({ type: "release", id: "a" }),
+        ...askMany(owner, ["f"]),
+        ...owner.apply({ type: "tick" }, 1_000),
+      ];
+      expect(after).to.deep.equal(["refuse f leaving"]);
+      expect([...owner.state.running.keys()]).to.deep.equal(["b", "c", "d"]);
+    });
+  }
+
+  it("sheds the least urgent when the queue is full", () => {
+    const owner = createTestOwner();
+    askMany(owner, ["a", "b", "c", "d"]);
+    const ids = Array.from({ length: ADMISSION_LIMITS.maxQueued }, (_, index) => `q${index}`);
+    askMany(owner, ids);
+    const entry = makeEntry("urgent", { urgency: 0 });
+    const effects = owner.apply({ type: "ask", entry });
+    expect(effects[0]).to.match(/^refuse q\d+ full$/);
+    expect(effects[1]).to.equal("place urgent");
+    expect(owner.state.queue.size).to.equal(ADMISSION_LIMITS.maxQueued);
+  });
+
+  it("lets an urgent entry displace others after its patience", () => {
+    const owner = createTestOwner();
+    askMany(owner, ["a", "b", "c", "d"]);
+    owner.apply({ type: "ask", entry: makeEntry("urgent", { urgency: 0 }) });
+    const { urgentPatienceMs } = ADMISSION_LIMITS;
+    expect(owner.apply({ type: "tick" }, urgentPatienceMs - 1)).to.deep.equal([]);
+    expect(owner.apply({ type: "tick" }, urgentPatienceMs)).to.deep.equal(["grant urgent"]);
+  });
+
+  describe("after a change of owner", () => {
+    it("grants little before the engine's first report", () => {
+      const owner = createTestOwner("none");
+      const ids = Array.from({ length: 8 }, (_, index) => `a${index}`);
+      const entries = ids.map((id) => makeEntry(id, { promptTokens: 1 }));
+      const effects = entries.flatMap((entry) => owner.apply({ type: "ask", entry }));
+      const granted = effects.filter((effect) => effect.startsWith("grant"));
+      expect(granted).to.have.length(ADMISSION_LIMITS.firstGrants);
+    });
+
+    it("counts memory that it cannot explain as used until entry daemons explain it", () => {
+      const owner = createTestOwner({ usedTokens: 900 });
+      expect(askMany(owner, ["first", "second"])).to.deep.equal(["grant first", "place second"]);
+      for (const id of ["x", "y", "z"]) {
+        owner.apply({ type: "adopt", entry: makeEntry(id), produced: 100 });
+      }
+      expect(owner.state.foreignTokens).to.equal(300);
+      expect(owner.state.running.size).to.equal(4);
+    });
+
+    it("takes a grant in once, however often it is reported", () => {
+      const owner = createTestOwner();
+      for (let time = 0; time < 3; time++) {
+        owner.apply({ type: "adopt", entry: makeEntry("x"), produced: 10 });
+      }
+      expect(owner.state.running.size).to.equal(1);
+    });
+  });
+});
--- a/packages/daemon/src/admission/policy.ts
+++ b/packages/daemon/src/admission/policy.ts
@@ -8,7 +8,6 @@
 export { createLeavingList } from "./create_leaving_list.ts";
 export { createPrefixIndex } from "./create_prefix_index.ts";
 export type { CacheEvent, PrefixIndex } from "./create_prefix_index.ts";
-export { createRetryBudget } from "./create_retry_budget.ts";
 export { createSpeedTable } from "./create_speed_table.ts";
 export type { SpeedTable } from "./create_speed_table.ts";
 export { decideOwner } from "./decide_owner.ts";
--- /dev/null
+++ b/packages/daemon/src/admission/testing/make_entry.ts
@@ -0,0 +1,18 @@
+import type { QueueEntry } from "../queue_entry.ts";
+
+/** Returns a queue entry of an unhurried request, with changes. */
+export function makeEntry(id: string, changes: Partial<QueueEntry> = {}): QueueEntry {
+  return {
+    id,
+    team: "planners",
+    kind: "plan",
+    model: "plan-70b",
+    urgency: 5,
+    weight: 1,
+    promptTokens: 100,
+    askedMs: 0,
+    deadlineMs: 600_000,
+    tokenGapMs: 37,
+    ...changes,
+  };
+}
--- a/packages/protocol/src/result_codes/admission_result_codes.ts
+++ b/packages/protocol/src/result_codes/admission_result_codes.ts
@@ -16,15 +16,8 @@
     title: "Request cannot be served in time",
     advice: "Retry after the stated delay",
   },
-  retryBudgetSpent: {
-    number: 4002,
-    status: 503,
-    ran: "no",
-    title: "Budget of retries inside the system is used up",
-    advice: "Retry after the stated delay",
-  },
   promptTooLarge: {
-    number: 4003,
+    number: 4002,
     status: 413,
     ran: "no",
     title: "Prompt is larger than the memory of an engine",
