--- a/packages/daemon/src/admission/constants.ts
+++ b/packages/daemon/src/admission/constants.ts
@@ -30,6 +30,10 @@
   projectionDeviations: 0.25,
   /** Share of a token gap target that the batch limit aims at. */
   gapTargetShare: 0.95,
+  /** Mean token gaps above this multiple of their target raise the headroom. */
+  raisedGapFactor: 1.25,
+  /** Time between two raises of the headroom by token gaps. */
+  gapReactionMs: 1_000,
   /** Token gap assumed before any was observed. */
   defaultGapMs: 30,
   /** Delay to the first token assumed before any was observed. */
--- a/packages/daemon/src/admission/create_length_predictor_test.ts
+++ b/packages/daemon/src/admission/create_length_predictor_test.ts
@@ -5,7 +5,7 @@
 
 const KEY = { team: "planners", kind: "plan", model: "plan-70b" };
 
-function learn(lengths: readonly number[], key = KEY) {
+function makePredictor(lengths: readonly number[], key = KEY) {
   const predictor = createLengthPredictor();
   lengths.forEach((length) => predictor.noteLength(key, length, 0));
   return predictor;
@@ -18,12 +18,12 @@
   });
 
   it("learns the lengths of a team's kind", () => {
-    const predictor = learn(Array.from({ length: 200 }, () => 60));
+    const predictor = makePredictor(Array.from({ length: 200 }, () => 60));
     expect(predictor.predictRest({ ...KEY, produced: 0 })).to.be.within(40, 150);
   });
 
   it("expects more of an answer that has outlived the short ones", () => {
-    const predictor = learn(
+    const predictor = makePredictor(
       Array.from({ length: 200 }, (_, index) => index % 10 === 0 ? 4_000 : 50),
     );
     const fresh = predictor.predictRest({ ...KEY, produced: 0 });
@@ -32,12 +32,15 @@
   });
 
   it("leans on the kind over all teams while a team is new", () => {
-    const predictor = learn(Array.from({ length: 200 }, () => 60), { ...KEY, team: "others" });
+    const predictor = makePredictor(Array.from({ length: 200 }, () => 60), {
+      ...KEY,
+      team: "others",
+    });
     expect(predictor.predictRest({ ...KEY, produced: 0 })).to.be.below(200);
   });
 
   it("forgets old lengths", () => {
-    const predictor = learn(Array.from({ length: 100 }, () => 4_000));
+    const predictor = makePredictor(Array.from({ length: 100 }, () => 4_000));
     const laterMs = 20 * ADMISSION_LIMITS.lengthHalfLifeMs;
     for (let index = 0; index < 100; index++) {
       predictor.noteLength(KEY, 50, laterMs);
@@ -46,7 +49,7 @@
   });
 
   it("takes a declared limit as a cap only", () => {
-    const predictor = learn(Array.from({ length: 200 }, () => 60));
+    const predictor = makePredictor(Array.from({ length: 200 }, () => 60));
     expect(predictor.predictRest({ ...KEY, produced: 10, maxTokens: 20 })).to.be.at.most(10);
     const uncapped = predictor.predictRest({ ...KEY, produced: 0 });
     const capped = predictor.predictRest({ ...KEY, produced: 0, maxTokens: 1_000_000 });
@@ -59,7 +62,10 @@
     fc.assert(
       fc.property(lengths, produced, (observed, already) => {
         const horizons = [0, 10, 100, 1_000, 10_000];
-        const survival = learn(observed).predictSurvival({ ...KEY, produced: already }, horizons);
+        const survival = makePredictor(observed).predictSurvival(
+          { ...KEY, produced: already },
+          horizons,
+        );
         return survival[0] === 1 &&
           survival.every((value, index) => value >= 0 && value <= (survival[index - 1] ?? 1));
       }),
--- a/packages/daemon/src/admission/decide_owner.ts
+++ b/packages/daemon/src/admission/decide_owner.ts
@@ -152,7 +152,8 @@
   }
   const reserved = isReserved ? ADMISSION_LIMITS.urgentMemoryShare : 0;
   const usable = state.capacityTokens * (1 - state.headroom.share - reserved) - state.foreignTokens;
-  return state.running.size === 0 || projectPeak(ADMISSION_LIMITS.projectionDeviations) <= usable;
+  const isIdle = state.running.size === 0 && state.foreignTokens === 0;
+  return isIdle || projectPeak(ADMISSION_LIMITS.projectionDeviations) <= usable;
 }
 
 function computeBatchLimit(state: OwnerState, entry: QueueEntry): number {
@@ -192,7 +193,7 @@
   }
   const fresh = produced - running.produced;
   if (fresh > 0 && running.produced > 0) {
-    state.gaps.noteGap(state.running.size, (nowMs - running.notedMs) / fresh);
+    noteGap(state, running, (nowMs - running.notedMs) / fresh, nowMs);
   }
   state.service.noteServed(running.entry.team, fresh, nowMs);
   state.running.set(id, {
@@ -205,6 +206,19 @@
   });
 }
 
+function noteGap(
+  state: OwnerState,
+  running: RunningGeneration,
+  gapMs: number,
+  nowMs: number,
+): void {
+  state.gaps.noteGap(state.running.size, gapMs);
+  const isRaised = gapMs > running.entry.tokenGapMs * ADMISSION_LIMITS.raisedGapFactor;
+  if (isRaised && nowMs - state.headroom.changedMs >= ADMISSION_LIMITS.gapReactionMs) {
+    state.headroom = advanceHeadroom(state.headroom, { type: "gapRaised" }, nowMs);
+  }
+}
+
 function restoreGrant(state: OwnerState, entry: QueueEntry, produced: number, nowMs: number): void {
   if (state.running.has(entry.id) || state.running.size >= ADMISSION_LIMITS.maxRunning) {
     return;
--- a/packages/daemon/src/admission/decide_owner_test.ts
+++ b/packages/daemon/src/admission/decide_owner_test.ts
@@ -15,14 +15,14 @@
   leaving: false,
 };
 
-function askMany(owner: TestOwner, ids: readonly string[]): string[] {
+function submitAsks(owner: TestOwner, ids: readonly string[]): string[] {
   return ids.flatMap((id) => owner.apply({ type: "ask", entry: makeEntry(id) }));
 }
 
 describe("owner decisions", () => {
   it("grants while the projected peak fits, then queues, and grants on release", () => {
     const owner = createTestOwner();
-    const effects = askMany(owner, ["a", "b", "c", "d", "e", "f"]);
+    const effects = submitAsks(owner, ["a", "b", "c", "d", "e", "f"]);
     expect(effects).to.deep.equal([
       "grant a",
       "grant b",
@@ -36,15 +36,15 @@
 
   it("keeps the place of an entry that asks again, and repeats a grant that was given", () => {
     const owner = createTestOwner();
-    askMany(owner, ["a", "b", "c", "d", "e", "f"]);
-    expect(askMany(owner, ["e", "a"])).to.deep.equal(["place e", "grant a"]);
+    submitAsks(owner, ["a", "b", "c", "d", "e", "f"]);
+    expect(submitAsks(owner, ["e", "a"])).to.deep.equal(["place e", "grant a"]);
     expect(owner.state.queue.size).to.equal(2);
     expect(owner.state.running.size).to.equal(4);
   });
 
   it("frees the memory of a grant whose entry daemon has crashed", () => {
     const owner = createTestOwner();
-    askMany(owner, ["a", "b", "c", "d", "e"]);
+    submitAsks(owner, ["a", "b", "c", "d", "e"]);
     const renewedMs = ADMISSION_LIMITS.grantLeaseMs - 1;
     for (const id of ["b", "c", "d"]) {
       owner.apply({ type: "tokens", id, produced: 1 }, renewedMs);
@@ -69,7 +69,7 @@
 
   it("refuses at once what cannot be in time, with the delay after which it could", () => {
     const owner = createTestOwner();
-    askMany(owner, ["a", "b", "c", "d"]);
+    submitAsks(owner, ["a", "b", "c", "d"]);
     const entry = makeEntry("late", { deadlineMs: 100 });
     const [effect] = decideOwner(owner.state, { type: "ask", entry }, 0);
     expect(effect).to.deep.include({ type: "refuse", id: "late", reason: "late" });
@@ -79,7 +79,7 @@
 
   it("refuses a queued entry as soon as its deadline cannot be met", () => {
     const owner = createTestOwner();
-    askMany(owner, ["a", "b", "c", "d"]);
+    submitAsks(owner, ["a", "b", "c", "d"]);
     owner.apply({ type: "ask", entry: makeEntry("e", { deadlineMs: 5_000 }) });
     expect(owner.apply({ type: "tick" }, 4_000)).to.deep.equal([]);
     expect(owner.apply({ type: "tick" }, 4_990)).to.deep.equal(["refuse e late"]);
@@ -95,11 +95,11 @@
   for (const [sign, applySign] of signs) {
     it(`gives a leaving engine nothing new after ${sign}, and hands its queue back`, () => {
       const owner = createTestOwner();
-      askMany(owner, ["a", "b", "c", "d", "e"]);
+      submitAsks(owner, ["a", "b", "c", "d", "e"]);
       expect(applySign(owner)).to.deep.equal(["refuse e leaving"]);
       const after = [
         ...owner.apply({ type: "release", id: "a" }),
-        ...askMany(owner, ["f"]),
+        ...submitAsks(owner, ["f"]),
         ...owner.apply({ type: "tick" }, 1_000),
       ];
       expect(after).to.deep.equal(["refuse f leaving"]);
@@ -109,9 +109,9 @@
 
   it("sheds the least urgent when the queue is full", () => {
     const owner = createTestOwner();
-    askMany(owner, ["a", "b", "c", "d"]);
+    submitAsks(owner, ["a", "b", "c", "d"]);
     const ids = Array.from({ length: ADMISSION_LIMITS.maxQueued }, (_, index) => `q${index}`);
-    askMany(owner, ids);
+    submitAsks(owner, ids);
     const entry = makeEntry("urgent", { urgency: 0 });
     const effects = owner.apply({ type: "ask", entry });
     expect(effects[0]).to.match(/^refuse q\d+ full$/);
@@ -121,7 +121,7 @@
 
   it("lets an urgent entry displace others after its patience", () => {
     const owner = createTestOwner();
-    askMany(owner, ["a", "b", "c", "d"]);
+    submitAsks(owner, ["a", "b", "c", "d"]);
     owner.apply({ type: "ask", entry: makeEntry("urgent", { urgency: 0 }) });
     const { urgentPatienceMs } = ADMISSION_LIMITS;
     expect(owner.apply({ type: "tick" }, urgentPatienceMs - 1)).to.deep.equal([]);
@@ -140,12 +140,12 @@
 
     it("counts memory that it cannot explain as used until entry daemons explain it", () => {
       const owner = createTestOwner({ usedTokens: 900 });
-      expect(askMany(owner, ["first", "second"])).to.deep.equal(["grant first", "place second"]);
+      expect(submitAsks(owner, ["first", "second"])).to.deep.equal(["place first", "place second"]);
       for (const id of ["x", "y", "z"]) {
         owner.apply({ type: "adopt", entry: makeEntry(id), produced: 100 });
       }
       expect(owner.state.foreignTokens).to.equal(300);
-      expect(owner.state.running.size).to.equal(4);
+      expect(owner.state.running.size).to.equal(3);
     });
 
     it("takes a grant in once, however often it is reported", () => {
