--- a/bench/src/fleet/create_fleet_model.ts
+++ b/bench/src/fleet/create_fleet_model.ts
@@ -6,8 +6,10 @@
   createFullHeartbeat,
   createHeartbeat,
   createMembershipState,
+  decideLeave,
   decideTick,
   encodeHeartbeat,
+  MEMBER_STATUS,
   observeTime,
 } from "@crocussail/daemon/membership";
 import type { Heartbeat, MembershipEffect, MembershipState } from "@crocussail/daemon/membership";
@@ -214,6 +216,12 @@
     stopMember: (index: number) => {
       stopped.add(index);
     },
+    leaveMember: (index: number) => {
+      const state = states[index];
+      if (state !== undefined) {
+        runEffects(index, state, decideLeave(state, MEMBER_STATUS.leaving));
+      }
+    },
     /** Starts a new process of a host, which has forgotten everything. */
     restartMember: (index: number) => {
       stopped.delete(index);
--- /dev/null
+++ b/bench/src/fleet/main.ts
@@ -0,0 +1,21 @@
+import process from "node:process";
+import type { BenchSection } from "./bench_section.ts";
+import { measureControl } from "./measure_control.ts";
+import { measureEntry } from "./measure_entry.ts";
+import { measureMembership } from "./measure_membership.ts";
+
+/** Measures the fleet's control; ends non-zero when a budget is missed, and names it. */
+const sections: BenchSection[] = [measureMembership(), measureControl(), measureEntry()];
+if (process.argv.includes("--json")) {
+  console.log(JSON.stringify(sections, undefined, 2));
+} else {
+  for (const { name, rows } of sections) {
+    console.log(`\n${name}`);
+    console.table(rows);
+  }
+}
+const missed = sections.flatMap((section) =>
+  section.missed.map((text) => `${section.name}: ${text}`)
+);
+missed.forEach((text) => console.error(`missed: ${text}`));
+process.exitCode = missed.length === 0 ? 0 : 1;
--- /dev/null
+++ b/bench/src/fleet/measure_entry.ts
@@ -0,0 +1,85 @@
+import { decideEntry } from "@crocussail/daemon/entry";
+import type { EntryCandidate, EntryChoice } from "@crocussail/daemon/entry";
+import type { BenchSection } from "./bench_section.ts";
+
+const FLEETS = [
+  { hosts: 6, dataCentres: 3 },
+  { hosts: 8, dataCentres: 4 },
+  { hosts: 400, dataCentres: 8 },
+];
+const CALLERS = 6_000;
+const TOTAL_WEIGHT = 1_000;
+/** One failure may cost one caller at most this share, where there are four hosts. */
+const MAX_ANSWER_SHARE = 0.3;
+
+/** Measures the shares of hosts, and what moves when one goes, with sizes of 1, 2 and 4. */
+export function measureEntry(): BenchSection {
+  const rows = FLEETS.map(measureFleet);
+  const missed = rows
+    .filter((row) => row.largestShareInAnswer > MAX_ANSWER_SHARE)
+    .map((row) => `share of ${row.largestShareInAnswer} in an answer of ${row.hosts} hosts`);
+  return { name: "entry", rows, missed };
+}
+
+function measureFleet({ hosts, dataCentres }: { hosts: number; dataCentres: number }) {
+  const candidates = Array.from({ length: hosts }, (_, index): EntryCandidate => ({
+    host: `host-${index}`,
+    dataCentre: `dc-${index % dataCentres}`,
+    capacity: 2 ** (index % 3),
+  }));
+  const before = askAll(candidates, dataCentres);
+  const gone = candidates[0]?.host;
+  const after = askAll(candidates.filter(({ host }) => host !== gone), dataCentres);
+  const shares = sumShares(before);
+  const meanOfSize = candidates.reduce((sum, { capacity }) => sum + capacity, 0);
+  const largest = candidates
+    .map(({ host, capacity }) => (shares.get(host) ?? 0) / (capacity / meanOfSize));
+  return {
+    hosts,
+    dataCentres,
+    largestShareInAnswer: Math.max(...before.flat().map(({ weight }) => weight)) / TOTAL_WEIGHT,
+    largestShareOfAll: round(Math.max(...shares.values())),
+    largestAgainstSize: round(Math.max(...largest)),
+    smallestAgainstSize: round(Math.min(...largest)),
+    answersChangedByALoss: round(countChanged(before, after) / before.length),
+    shareMovedByALoss: round(countMoved(before, after)),
+  };
+}
+
+function askAll(candidates: readonly EntryCandidate[], dataCentres: number): EntryChoice[][] {
+  return Array.from({ length: CALLERS }, (_, index) =>
+    decideEntry({
+      candidates,
+      dataCentre: `dc-${index % dataCentres}`,
+      caller: `team-${index % 1_500}\0caller-${index}`,
+    }));
+}
+
+function sumShares(answers: readonly EntryChoice[][]): Map<string, number> {
+  const shares = new Map<string, number>();
+  for (const { host, weight } of answers.flat()) {
+    shares.set(host, (shares.get(host) ?? 0) + weight / TOTAL_WEIGHT / answers.length);
+  }
+  return shares;
+}
+
+function countChanged(before: readonly EntryChoice[][], after: readonly EntryChoice[][]): number {
+  return before.filter((answer, index) => JSON.stringify(answer) !== JSON.stringify(after[index]))
+    .length;
+}
+
+/** Mean share that goes to another host than before. */
+function countMoved(before: readonly EntryChoice[][], after: readonly EntryChoice[][]): number {
+  const moved = before.map((answer, index) => {
+    const next = new Map((after[index] ?? []).map(({ host, weight }) => [host, weight]));
+    return answer.reduce(
+      (sum, { host, weight }) => sum + Math.max(0, weight - (next.get(host) ?? 0)),
+      0,
+    );
+  });
+  return moved.reduce((sum, share) => sum + share, 0) / before.length / TOTAL_WEIGHT;
+}
+
+function round(value: number): number {
+  return Number(value.toFixed(4));
+}
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics, RandomSource } from "@crocussail/protocol";
 import type { AddressInfo } from "node:net";
 import type { EngineClient } from "./adapters/engine_client.ts";
+import type { PlacementClient } from "./adapters/placement_client.ts";
 import type { ProcessUsage } from "./adapters/process_usage.ts";
 import type { LoadClient } from "./adapters/load_client.ts";
 import type { ServiceClient } from "./adapters/service_client.ts";
@@ -16,6 +17,7 @@
 import { createMembership } from "./membership/mod.ts";
 import { createOrders } from "./orders/mod.ts";
 import { createPeerLink } from "./peers/mod.ts";
+import { createPlacement } from "./placement/mod.ts";
 import { createSettings } from "./settings/mod.ts";
 import { createShutdown } from "./shutdown/mod.ts";
 import { createJournal, createProcessReporter, createStateDump } from "./state_dump/mod.ts";
@@ -31,6 +33,7 @@
   readonly engine: EngineClient;
   readonly load: LoadClient;
   readonly service: ServiceClient;
+  readonly placementClient: PlacementClient;
   readonly readUsage: () => ProcessUsage;
   /** Processor time of this process since its start, in milliseconds. */
   readonly readCpuMs: () => number;
@@ -108,6 +111,13 @@
     membership,
     service: options.service,
   });
+  const placement = createPlacement({
+    context,
+    settings: settings.view,
+    membership,
+    client: options.placementClient,
+    isSettingsReady: settings.isReady,
+  });
   const entry = createEntry({
     context,
     settings: settings.view,
@@ -165,6 +175,7 @@
     membership.stop();
     entry.stop();
     admission.stop();
+    placement.stop();
     orders.stop();
     generations.stop();
     await callerServer.close();
@@ -184,6 +195,7 @@
       generations: generations.dumpState,
       orders: orders.dumpState,
       shutdown: shutdown.dumpState,
+      placement: placement.dumpState,
     },
   });
 
@@ -201,6 +213,7 @@
       membership.start();
       entry.start();
       admission.start();
+      placement.start();
       reporter.start();
       await openListener(
         { ...names, portName: "listen.caller_port", port: listen.callerPort },
--- a/packages/daemon/src/create_process_daemon.ts
+++ b/packages/daemon/src/create_process_daemon.ts
@@ -2,6 +2,7 @@
 import { createEtcdSettingsSource } from "./adapters/create_etcd_settings_source.ts";
 import { createHttpEngineClient } from "./adapters/create_http_engine_client.ts";
 import { createHttpLoadClient } from "./adapters/create_http_load_client.ts";
+import { createHttpPlacementClient } from "./adapters/create_http_placement_client.ts";
 import { createHttpServiceClient } from "./adapters/create_http_service_client.ts";
 import { createNullMetrics } from "./adapters/create_null_metrics.ts";
 import { readCpuMs } from "./adapters/read_cpu_ms.ts";
@@ -52,6 +53,7 @@
     engine: createHttpEngineClient(),
     load: createHttpLoadClient(),
     service: wrapService(createHttpServiceClient()),
+    placementClient: createHttpPlacementClient(),
     readUsage: createProcessUsageReader(),
     readCpuMs,
     ...(options.tls === undefined ? {} : { tls: options.tls }),
--- a/packages/daemon/src/membership/mod.ts
+++ b/packages/daemon/src/membership/mod.ts
@@ -11,6 +11,7 @@
 export { createHeartbeat } from "./create_heartbeat.ts";
 export { decideLeave } from "./decide_leave.ts";
 export { decideTick } from "./decide_tick.ts";
+export { decodeHeartbeat } from "./decode_heartbeat.ts";
 export { encodeHeartbeat } from "./encode_heartbeat.ts";
 export type { Heartbeat } from "./heartbeat.ts";
 export { MEMBER_STATUS } from "./member_status.ts";
