--- a/bench/src/fleet/measure_entry.ts
+++ b/bench/src/fleet/measure_entry.ts
@@ -27,10 +27,10 @@
     dataCentre: `dc-${index % dataCentres}`,
     capacity: 2 ** (index % 3),
   }));
-  const before = askAll(candidates, dataCentres);
+  const before = collectAnswers(candidates, dataCentres);
   const gone = candidates[0]?.host;
-  const after = askAll(candidates.filter(({ host }) => host !== gone), dataCentres);
-  const shares = sumShares(before);
+  const after = collectAnswers(candidates.filter(({ host }) => host !== gone), dataCentres);
+  const shares = tallyShares(before);
   const meanOfSize = candidates.reduce((sum, { capacity }) => sum + capacity, 0);
   const largest = candidates
     .map(({ host, capacity }) => (shares.get(host) ?? 0) / (capacity / meanOfSize));
@@ -38,15 +38,18 @@
     hosts,
     dataCentres,
     largestShareInAnswer: Math.max(...before.flat().map(({ weight }) => weight)) / TOTAL_WEIGHT,
-    largestShareOfAll: round(Math.max(...shares.values())),
-    largestAgainstSize: round(Math.max(...largest)),
-    smallestAgainstSize: round(Math.min(...largest)),
-    answersChangedByALoss: round(countChanged(before, after) / before.length),
-    shareMovedByALoss: round(countMoved(before, after)),
+    largestShareOfAll: computeRounded(Math.max(...shares.values())),
+    largestAgainstSize: computeRounded(Math.max(...largest)),
+    smallestAgainstSize: computeRounded(Math.min(...largest)),
+    answersChangedByALoss: computeRounded(countChanged(before, after) / before.length),
+    shareMovedByALoss: computeRounded(countMoved(before, after)),
   };
 }
 
-function askAll(candidates: readonly EntryCandidate[], dataCentres: number): EntryChoice[][] {
+function collectAnswers(
+  candidates: readonly EntryCandidate[],
+  dataCentres: number,
+): EntryChoice[][] {
   return Array.from({ length: CALLERS }, (_, index) =>
     decideEntry({
       candidates,
@@ -55,7 +58,7 @@
     }));
 }
 
-function sumShares(answers: readonly EntryChoice[][]): Map<string, number> {
+function tallyShares(answers: readonly EntryChoice[][]): Map<string, number> {
   const shares = new Map<string, number>();
   for (const { host, weight } of answers.flat()) {
     shares.set(host, (shares.get(host) ?? 0) + weight / TOTAL_WEIGHT / answers.length);
@@ -80,6 +83,6 @@
   return moved.reduce((sum, share) => sum + share, 0) / before.length / TOTAL_WEIGHT;
 }
 
-function round(value: number): number {
+function computeRounded(value: number): number {
   return Number(value.toFixed(4));
 }
