--- a/packages/local_fleet/src/mod.ts
+++ b/packages/local_fleet/src/mod.ts
@@ -2,3 +2,7 @@
 export { createLocalFleet } from "./create_local_fleet.ts";
 export type { LocalFleet, LocalFleetOptions, LocalStandIns } from "./create_local_fleet.ts";
 export type { LocalDaemon } from "./local_daemon.ts";
+export { fetchKeyPrefix } from "./fetch_key_prefix.ts";
+export type { OrderEnd, OrderOptions } from "./order_end.ts";
+export { runBooking } from "./run_booking.ts";
+export { sendBooking } from "./send_booking.ts";
--- a/packages/stand_ins/src/service/create_plain_service.ts
+++ b/packages/stand_ins/src/service/create_plain_service.ts
@@ -1,4 +1,5 @@
 import fastify from "fastify";
+import type { FastifyReply } from "fastify";
 import { startLoopbackServer } from "../start_loopback_server.ts";
 import type { StandInServer } from "../stand_in_server.ts";
 
@@ -8,18 +9,53 @@
   listRuns(): ReadonlyMap<string, number>;
 }
 
-/** Starts a fake plain service: every `POST` runs an order, every `GET` reads. */
-export async function createPlainService(options: { port?: number } = {}): Promise<PlainService> {
+/** Options of {@link createPlainService}. */
+export interface PlainServiceOptions {
+  readonly port?: number;
+  /** Time that a booking takes, in milliseconds. */
+  readonly bookingMs?: number;
+}
+
+/** Body of a booking; `fault` makes the service run it and then misbehave. */
+interface Booking {
+  readonly order: string;
+  readonly fault?: "close" | "large";
+}
+
+const LARGE_ANSWER_BYTES = 200_000;
+
+/**
+ * Starts a fake plain service: `POST /bookings` runs an order, `GET /stock` reads. A booking with
+ * the fault `close` runs and loses its connection; `large` gets an answer of 200 kB.
+ */
+export async function createPlainService(
+  options: PlainServiceOptions = {},
+): Promise<PlainService> {
   const runs = new Map<string, number>();
   const server = fastify();
-  server.post("/*", (request, reply) => {
-    const { order } = request.body as { order: string };
-    const count = (runs.get(order) ?? 0) + 1;
-    runs.set(order, count);
-    reply.code(201);
-    return { order, booking: `B-${runs.size}` };
+  server.post("/bookings", async (request, reply) => {
+    const { order, fault } = request.body as Booking;
+    runs.set(order, (runs.get(order) ?? 0) + 1);
+    const booking = `B-${runs.size}`;
+    await waitBooking(options.bookingMs ?? 0);
+    return fault === undefined ? reply.code(201).send({ order, booking }) : failReply(reply, fault);
   });
-  server.get("/*", () => ({ containers: 42 }));
+  server.get("/stock", () => ({ containers: 42 }));
   const started = await startLoopbackServer(server, options.port);
   return { ...started, listRuns: () => runs };
 }
+
+function waitBooking(delayMs: number): Promise<void> | undefined {
+  return delayMs === 0 ? undefined : new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
+function failReply(reply: FastifyReply, fault: "close" | "large"): FastifyReply {
+  if (fault === "large") {
+    return reply.code(201).send({ filler: "x".repeat(LARGE_ANSWER_BYTES) });
+  }
+  reply.hijack();
+  reply.raw.destroy();
+  return reply;
+}
