Find handed-over duties without a notice, and forget stale identities

Cause: with heartbeats on a sparse overlay, a prefix could name two processes that were replaced long ago, and a notice of a handover takes seconds. Change: an identity is used for 15 s and only while the host's published address stands; a duty that its host does not hold is looked for at its likely successors; an order waits a bounded time for a fresh view after a start.

--- a/packages/daemon/src/orders/constants.ts
+++ b/packages/daemon/src/orders/constants.ts
@@ -37,6 +37,10 @@
   maxRunning: 5_000,
   /** Hosts whose incarnation and epoch are remembered; at the bound the oldest is forgotten. */
   maxKnownReplicas: 1_024,
+  /** Age from which a remembered incarnation and epoch are asked for again, in milliseconds. */
+  maxIdentityAgeMs: 15_000,
+  /** Longest wait of an order for a fresh view after a start or pause, in milliseconds. */
+  viewWaitMs: 6_000,
   /** Adopted duties of predecessors; at the bound a handover is refused. */
   maxDuties: 64,
   /** Records in one frame of a handover. */
--- a/packages/daemon/src/orders/create_key_prefixes.ts
+++ b/packages/daemon/src/orders/create_key_prefixes.ts
@@ -10,7 +10,7 @@
 
 /** Options of {@link createKeyPrefixes}. */
 export interface KeyPrefixesOptions {
-  readonly context: Pick<DaemonContext, "config" | "random">;
+  readonly context: Pick<DaemonContext, "config" | "clock" | "random">;
   readonly settings: SettingsView;
   readonly membership: Membership;
   readonly link: ReplicaLink;
@@ -24,6 +24,14 @@
   readonly epoch: number;
 }
 
+interface KnownIdentity {
+  readonly identity: Identity;
+  /** Monotonic time. */
+  readonly learnedAt: number;
+  /** Published address when it was learned. */
+  readonly place: string;
+}
+
 /** Prefixes of idempotency keys. */
 export interface KeyPrefixes {
   /** Creates a signed prefix; undefined when too few replicas are known. */
@@ -45,11 +53,26 @@
 export function createKeyPrefixes(options: KeyPrefixesOptions): KeyPrefixes {
   const { context, settings, membership, link } = options;
   const self = context.config.host.name;
-  const known = new Map<string, Identity>();
+  const known = new Map<string, KnownIdentity>();
+
+  /** A host that was published anew has another process. */
+  const formatPlace = (host: string) => {
+    const published = settings.getHosts().get(host);
+    return `${published?.address}:${published?.peerPort}`;
+  };
+
+  const findIdentity = (host: string): Identity | undefined => {
+    const found = known.get(host);
+    const now = context.clock.readMonotonicMs();
+    const isUsable = found !== undefined && found.place === formatPlace(host) &&
+      now - found.learnedAt <= ORDER_LIMITS.maxIdentityAgeMs;
+    return isUsable ? found.identity : undefined;
+  };
 
   const noteIdentity = (host: string, identity: Identity) => {
+    const learnedAt = context.clock.readMonotonicMs();
     known.delete(host);
-    known.set(host, identity);
+    known.set(host, { identity, learnedAt, place: formatPlace(host) });
     const [oldest] = known.keys();
     if (known.size > ORDER_LIMITS.maxKnownReplicas && oldest !== undefined) {
       known.delete(oldest);
@@ -71,7 +94,7 @@
     const hosts = settings.getHosts();
     noteIdentity(self, options.readOwn());
     return membership.listLiveHosts().flatMap((host) => {
-      const identity = known.get(host);
+      const identity = findIdentity(host);
       const dataCentre = hosts.get(host)?.dataCentre;
       return identity === undefined || dataCentre === undefined
         ? []
@@ -81,7 +104,7 @@
 
   /** Asks hosts not yet heard of; only right after a start, before their heartbeats came. */
   const askUnknown = async () => {
-    const unknown = membership.listLiveHosts().filter((host) => !known.has(host));
+    const unknown = membership.listLiveHosts().filter((host) => findIdentity(host) === undefined);
     await Promise.all(
       unknown.slice(0, MAX_ASKED).map(async (host) => {
         const identity = await link.askIdentity(host);
--- a/packages/daemon/src/orders/create_order_runner.ts
+++ b/packages/daemon/src/orders/create_order_runner.ts
@@ -13,6 +13,7 @@
 import type { ReplicaLink } from "./replica_link.ts";
 import { runClaimant } from "./run_claimant.ts";
 import { runOrder } from "./run_order.ts";
+import { waitFreshView } from "./wait_fresh_view.ts";
 import type { ServiceCall } from "./service_call.ts";
 
 /** Options of {@link createOrderRunner}. */
@@ -67,7 +68,7 @@
   };
 
   const runCall: OrderRunner["runCall"] = async (call, key, prefix) => {
-    if (!options.membership.isViewFresh()) {
+    if (!await waitFreshView(options, call.deadlineMs)) {
       const detail = "this daemon was paused and is reading its settings again";
       return Left(createOrderProblem({ type: "noMajority", detail }));
     }
--- a/packages/daemon/src/orders/create_orders.ts
+++ b/packages/daemon/src/orders/create_orders.ts
@@ -48,7 +48,7 @@
 export function createOrders(options: OrdersOptions): Orders {
   const { context, settings, membership, service } = options;
   const replica = createReplica({ context, settings, membership });
-  const link = createReplicaLink({ context, membership });
+  const link = createReplicaLink({ context, settings, membership });
   const prefixes = createKeyPrefixes({
     context,
     settings,
--- a/packages/daemon/src/orders/create_replica.ts
+++ b/packages/daemon/src/orders/create_replica.ts
@@ -1,7 +1,6 @@
 import type { Timer } from "@crocussail/protocol";
 import { z } from "zod";
 import type { DaemonContext } from "../common/daemon_context.ts";
-import { rankByRendezvous } from "../common/rank_by_rendezvous.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { SettingsView } from "../settings/mod.ts";
 import { adoptionMessageSchema } from "./adoption_message_schema.ts";
@@ -11,6 +10,8 @@
 import type { AdoptionReply } from "./decide_adoption.ts";
 import type { DutyTable } from "./duty_table.ts";
 import { DUTY_TOPIC } from "./duty_topic.ts";
+import { listLiveCandidates } from "./list_live_candidates.ts";
+import { listSuccessors } from "./list_successors.ts";
 import { ORDER_CHANNEL } from "./order_channel.ts";
 import { orderMessageSchema } from "./order_message_schema.ts";
 import { transferDuty } from "./transfer_duty.ts";
@@ -100,21 +101,20 @@
     }
   });
 
-  /** Hosts of the own data centre first: the key's other replicas stand in other ones. */
-  const listCandidates = (seed: string): string[] => {
-    const hosts = options.settings.getHosts();
-    const live = membership.listLiveHosts().filter((host) => host !== self);
-    const ranked = rankByRendezvous(seed, live);
-    const own = context.config.host.dataCentre;
-    const isNear = (host: string) => hosts.get(host)?.dataCentre === own;
-    return [...ranked.filter(isNear), ...ranked.filter((host) => !isNear(host))]
+  const listCandidates = ({ host, duty }: DutyTable): string[] => {
+    // A leaving host does not list itself, but its data centre decides the order.
+    const here = { host: self, dataCentre: context.config.host.dataCentre };
+    const live = listLiveCandidates(membership, options.settings)
+      .filter((candidate) => candidate.host !== self);
+    return listSuccessors({ host, incarnation: duty.incarnation }, [...live, here])
+      .filter((candidate) => candidate !== self)
       .slice(0, MAX_CANDIDATES);
   };
 
   const handOver = async (table: DutyTable) => {
     const successor = await transferDuty({
       table,
-      candidates: listCandidates(table.duty.incarnation),
+      candidates: listCandidates(table),
       createTransferId: () => random.nextHex(TRANSFER_ID_BYTES),
       askSuccessor: async (host, message) => {
         const { transferTimeoutMs } = ORDER_LIMITS;
--- a/packages/daemon/src/orders/create_replica_link.ts
+++ b/packages/daemon/src/orders/create_replica_link.ts
@@ -1,19 +1,29 @@
 import { z } from "zod";
 import type { DaemonContext } from "../common/daemon_context.ts";
 import type { Membership } from "../membership/mod.ts";
+import type { SettingsView } from "../settings/mod.ts";
 import { ORDER_LIMITS } from "./constants.ts";
 import { DUTY_TOPIC } from "./duty_topic.ts";
 import { identityReplySchema } from "./identity_reply_schema.ts";
 import { ORDER_CHANNEL } from "./order_channel.ts";
+import type { KeyReplica } from "./key_prefix_schema.ts";
+import { listLiveCandidates } from "./list_live_candidates.ts";
+import { listSuccessors } from "./list_successors.ts";
+import type { OrderMessage } from "./order_message_schema.ts";
 import { orderReplySchema } from "./order_reply_schema.ts";
+import type { OrderReply } from "./order_reply_schema.ts";
 import type { ReplicaLink } from "./replica_link.ts";
 
 /** Options of {@link createReplicaLink}. */
 export interface ReplicaLinkOptions {
   readonly context: Pick<DaemonContext, "peers">;
+  readonly settings: SettingsView;
   readonly membership: Membership;
 }
 
+/** Likely successors asked for a duty that its host does not hold any more. */
+const MAX_SUCCESSORS = 2;
+
 const dutySchema = z.object({ incarnation: z.string().max(64) });
 
 /** Creates the link to replicas; it learns from notices which duties have moved. */
@@ -26,21 +36,49 @@
     if (!duty.success) {
       return;
     }
-    holders.delete(duty.data.incarnation);
-    holders.set(duty.data.incarnation, origin);
+    noteHolder(duty.data.incarnation, origin);
+  });
+
+  const noteHolder = (incarnation: string, host: string) => {
+    holders.delete(incarnation);
+    holders.set(incarnation, host);
     const [oldest] = holders.keys();
     if (holders.size > ORDER_LIMITS.maxKnownReplicas && oldest !== undefined) {
       holders.delete(oldest);
     }
-  });
+  };
+
+  const askHost = async (host: string, message: OrderMessage): Promise<OrderReply | undefined> => {
+    const { roundTimeoutMs } = ORDER_LIMITS;
+    const reply = await peers.requestReply(host, ORDER_CHANNEL, message, roundTimeoutMs);
+    return reply.toMaybe().chainNullable((body) => orderReplySchema.safeParse(body).data)
+      .extract();
+  };
+
+  /** Only a host that holds the duty answers anything but `expired`. */
+  const askSuccessors = async (
+    replica: KeyReplica,
+    message: OrderMessage,
+  ): Promise<OrderReply | undefined> => {
+    const live = listLiveCandidates(options.membership, options.settings);
+    for (const host of listSuccessors(replica, live).slice(0, MAX_SUCCESSORS)) {
+      const reply = await askHost(host, message);
+      if (reply !== undefined && reply.type !== "expired") {
+        noteHolder(replica.incarnation, host);
+        return reply;
+      }
+    }
+    return undefined;
+  };
 
   return {
     askReplica: async (replica, message) => {
-      const host = holders.get(replica.incarnation) ?? replica.host;
-      const { roundTimeoutMs } = ORDER_LIMITS;
-      const reply = await peers.requestReply(host, ORDER_CHANNEL, message, roundTimeoutMs);
-      return reply.toMaybe().chainNullable((body) => orderReplySchema.safeParse(body).data)
-        .extract();
+      const holder = holders.get(replica.incarnation);
+      const reply = await askHost(holder ?? replica.host, message);
+      const isElsewhere = reply === undefined || reply.type === "expired";
+      return holder === undefined && isElsewhere
+        ? await askSuccessors(replica, message) ?? reply
+        : reply;
     },
     askIdentity: async (host) => {
       const message = { type: "identify" };
