Guard every call that carries a key, and say unknown to keyed calls refused early

Cause: a daemon with stale settings, or a rule taken back, sent a keyed call as repeatable; and a 401, 403 or missing upstream said `ran: no` about keys that earlier attempts may have run. Change: a key is always honoured; early refusals of keyed calls say unknown.

--- a/packages/daemon/src/orders/create_orders.ts
+++ b/packages/daemon/src/orders/create_orders.ts
@@ -43,6 +43,7 @@
 }
 
 const BUSY_RETRY_MS = 1_000;
+const KEY_START = "ck1.";
 
 /** Creates the orders slice. */
 export function createOrders(options: OrdersOptions): Orders {
@@ -63,7 +64,7 @@
     call: ServiceCall,
     key: string | undefined,
   ): Promise<Either<ResultError, ServiceResponse>> => {
-    if (key === undefined || !key.startsWith("ck1.")) {
+    if (key === undefined || !key.startsWith(KEY_START)) {
       const detail = key === undefined
         ? `${call.request.method} ${call.request.path} may not run twice and needs a key`
         : "a key begins with a prefix of this fleet: send <key_prefix><your own id>";
@@ -83,20 +84,23 @@
 
   const createHint = async () => ({ key_prefix: await prefixes.createKeyPrefix() });
 
+  /** A key is honoured also where the settings, perhaps stale ones, don't ask for it. */
   const runCall = (call: ServiceCall, key: string | undefined) => {
     const { method, path } = call.request;
-    return isNonRepeatable(settings, call.team, { service: call.service, method, path })
-      ? runNonRepeatable(call, key)
-      : sendRepeatableCall(call, service);
+    const isGuarded = key?.startsWith(KEY_START) === true ||
+      isNonRepeatable(settings, call.team, { service: call.service, method, path });
+    return isGuarded ? runNonRepeatable(call, key) : sendRepeatableCall(call, service);
   };
 
   const handleCall = async (request: FastifyRequest, reply: FastifyReply) => {
+    const header = request.headers["idempotency-key"];
+    const key = Array.isArray(header) ? header.join() : header;
     const call = createServiceCall(request, options);
     if (call.isLeft()) {
-      return sendProblem(reply, call.extract() as ResultError);
+      // Earlier attempts with the key may have run, before access or upstream went.
+      const error = call.extract() as ResultError;
+      return sendProblem(reply, key === undefined ? error : { ...error, ran: "unknown" });
     }
-    const header = request.headers["idempotency-key"];
-    const key = Array.isArray(header) ? header.join() : header;
     if (running >= ORDER_LIMITS.maxRunning) {
       const error = createResultError("tooManyServiceCalls", `${running} calls run`, {
         ran: key === undefined ? "no" : "unknown",
--- a/packages/daemon/src/orders/create_service_call.ts
+++ b/packages/daemon/src/orders/create_service_call.ts
@@ -35,8 +35,6 @@
     const urls = listServiceUrls(settings, service, context.config.host.dataCentre);
     if (urls.length === 0) {
       const error = createResultError("noUpstream", `service "${service}" has no live upstream`, {
-        // A key's earlier attempts may have run while there was an upstream.
-        ran: request.headers["idempotency-key"] === undefined ? "no" : "unknown",
         retryAfterMs: NO_UPSTREAM_RETRY_MS,
       });
       return Left(error);
--- a/packages/local_fleet/src/orders_test.ts
+++ b/packages/local_fleet/src/orders_test.ts
@@ -105,6 +105,25 @@
     expect(JSON.parse(repeat?.text ?? "{}").key_prefix).to.match(/^ck1\./);
   });
 
+  it("guards a call with a key although the settings do not ask for one any more", async () => {
+    const key = `${await fetchKeyPrefix(fleet, 0)}unruled`;
+    const body = { order: "unruled" };
+    await sendBooking(fleet, 0, { key, body });
+    fleet.settingsService.putValue("fleet/services", "[stock]\nnon_repeatable =\n");
+    const repeats = await Promise.all(
+      [1, 2].map((host) => sendBooking(fleet, host, { key, body })),
+    );
+    expect(repeats.map((repeat) => repeat?.status)).to.deep.equal([201, 201]);
+    expect(countRuns("unruled")).to.equal(1);
+  });
+
+  it("says unknown to a keyed call of a team without access", async () => {
+    const key = `${await fetchKeyPrefix(fleet, 0)}foreign`;
+    const call = { key, body: { order: "foreign" }, apiKey: "nobody" };
+    const answer = await sendBooking(fleet, 0, call);
+    expect([answer?.status, answer?.ran]).to.deep.equal([401, "unknown"]);
+  });
+
   it("refuses a key that was used for another body", async () => {
     const key = `${await fetchKeyPrefix(fleet, 0)}reused`;
     await sendBooking(fleet, 0, { key, body: { order: "reused" } });
