--- a/packages/daemon/src/admission/create_admission.ts
+++ b/packages/daemon/src/admission/create_admission.ts
@@ -12,8 +12,8 @@
 import { createGrantClient } from "./create_grant_client.ts";
 import { createGrantTable } from "./create_grant_table.ts";
 import { createLeavingList } from "./create_leaving_list.ts";
+import { createOwnerDirectory } from "./create_owner_directory.ts";
 import { createOwnerService } from "./create_owner_service.ts";
-import { findOwner } from "./find_owner.ts";
 import { leavingNoticeSchema } from "./leaving_notice_schema.ts";
 import { scoreExpectedTime } from "./score_expected_time.ts";
 
@@ -55,15 +55,9 @@
   let noticeCount = 0;
   let timer: Timer | undefined;
 
-  const findUpstreamOwner = (upstream: string): string | undefined => {
-    const hosts = settings.getHosts();
-    const dataCentre = settings.getUpstreams().get(upstream)?.dataCentre ?? "";
-    const candidates = membership.listLiveHosts()
-      .map((host) => ({ host, dataCentre: hosts.get(host)?.dataCentre }));
-    return findOwner(upstream, dataCentre, candidates);
-  };
+  const directory = createOwnerDirectory({ settings, membership });
   const sendToOwner = (upstream: string, message: AdmissionMessage) => {
-    const host = findUpstreamOwner(upstream);
+    const host = directory.findOwner(upstream);
     if (host !== undefined) {
       peers.sendMessage(host, CHANNEL, message);
     }
@@ -103,7 +97,8 @@
     context,
     settings,
     load: options.load,
-    isOwner: (upstream) => findUpstreamOwner(upstream) === context.config.host.name,
+    directory,
+    host: context.config.host.name,
     sendMessage: (host, message) => peers.sendMessage(host, CHANNEL, message),
     noteLeaving,
     applyCacheEvents: (upstream, events) =>
@@ -117,7 +112,7 @@
     view,
     grants,
     score: options.score ?? scoreExpectedTime,
-    findOwner: findUpstreamOwner,
+    directory,
     isViewFresh: membership.isViewFresh,
     markLeaving: (upstream) => noteLeaving(upstream, true),
   });
--- a/packages/daemon/src/admission/create_grant_client.ts
+++ b/packages/daemon/src/admission/create_grant_client.ts
@@ -14,8 +14,9 @@
 import { ENTRY_CONVERSION } from "./convert_entry.ts";
 import type { CandidateView } from "./create_candidate_view.ts";
 import type { GrantTable } from "./create_grant_table.ts";
+import type { OwnerDirectory } from "./create_owner_directory.ts";
+import { createQueueEntry } from "./create_queue_entry.ts";
 import { createRefusal } from "./create_refusal.ts";
-import type { QueueEntry } from "./queue_entry.ts";
 import { rankCandidates } from "./rank_candidates.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
@@ -26,7 +27,7 @@
   readonly view: CandidateView;
   readonly grants: GrantTable;
   readonly score: CandidateScore;
-  readonly findOwner: (upstream: string) => string | undefined;
+  readonly directory: OwnerDirectory;
   /** False while this host must not rely on its own view. */
   readonly isViewFresh: () => boolean;
   readonly markLeaving: (upstream: string) => void;
@@ -41,8 +42,6 @@
 }
 
 const CHANNEL = "admission";
-const DEFAULT_URGENCY = 5;
-const DEFAULT_GAP_MS = 37;
 
 /** Creates the entry side; its table of waiting requests is bounded, the next one is refused. */
 export function createGrantClient(options: GrantClientOptions): GrantClient {
@@ -88,7 +87,7 @@
   const grantWaiting = (waiting: WaitingRequest, upstream: string, isSelfGranted: boolean) => {
     const url = settings.getUpstreams().get(upstream)?.url;
     if (url === undefined) {
-      sendRelease(options.findOwner(upstream), upstream, waiting.entry.id);
+      sendRelease(options.directory.findOwner(upstream), upstream, waiting.entry.id);
       return;
     }
     const waitedMs = clock.readMonotonicMs() - waiting.entry.askedMs;
@@ -106,7 +105,7 @@
     waiting: WaitingRequest,
     upstream: string,
   ): Promise<AdmissionReply | undefined> => {
-    const owner = options.findOwner(upstream);
+    const owner = options.directory.findOwner(upstream);
     if (owner === undefined) {
       return undefined;
     }
@@ -161,6 +160,7 @@
 
   const askOwners = async (waiting: WaitingRequest) => {
     waiting.isAsking = true;
+    options.directory.refreshView();
     const nowMs = clock.readMonotonicMs();
     const candidates = view.listCandidates(waiting.request, waiting.entry.urgency, nowMs);
     const ranked = rankCandidates(candidates, options.score).map(({ upstream }) => upstream);
@@ -244,24 +244,6 @@
     void askOwners(waiting);
   };
 
-  const createEntry = (request: AdmissionRequest): QueueEntry => {
-    const team = settings.getTeam(request.team);
-    const kind = team?.kinds[request.kind];
-    return {
-      id: request.requestId,
-      team: request.team,
-      kind: request.kind,
-      model: request.model,
-      urgency: kind?.urgency ?? DEFAULT_URGENCY,
-      weight: team?.access.weight ?? 1,
-      promptTokens: request.promptTokens,
-      ...(request.maxTokens === undefined ? {} : { maxTokens: request.maxTokens }),
-      tokenGapMs: kind?.tokenGapMs ?? DEFAULT_GAP_MS,
-      askedMs: clock.readMonotonicMs(),
-      deadlineMs: request.deadlineMs,
-    };
-  };
-
   return {
     requestGrant: (request) =>
       new Promise((settle) => {
@@ -271,7 +253,7 @@
         }
         const waiting: WaitingRequest = {
           request,
-          entry: createEntry(request),
+          entry: createQueueEntry(request, settings, clock.readMonotonicMs()),
           places: new Map(),
           settle,
           isAsking: false,
--- /dev/null
+++ b/packages/daemon/src/admission/create_owner_directory.ts
@@ -0,0 +1,46 @@
+import type { Membership } from "../membership/mod.ts";
+import type { SettingsView } from "../settings/mod.ts";
+import { findOwner } from "./find_owner.ts";
+
+/** Remembers the admission owner of each upstream for the present view of the fleet. */
+export interface OwnerDirectory {
+  findOwner(upstream: string): string | undefined;
+  /** Forgets the owners when hosts have come or gone since the last call. */
+  refreshView(): void;
+}
+
+/** Creates the directory; it holds at most the published upstreams. */
+export function createOwnerDirectory(options: {
+  readonly settings: SettingsView;
+  readonly membership: Pick<Membership, "listLiveHosts">;
+}): OwnerDirectory {
+  const { settings, membership } = options;
+  const owners = new Map<string, string | undefined>();
+  let knownHosts = "";
+  settings.subscribe(() => owners.clear());
+
+  return {
+    findOwner: (upstream) => {
+      if (owners.has(upstream)) {
+        return owners.get(upstream);
+      }
+      const published = settings.getUpstreams().get(upstream);
+      if (published === undefined) {
+        return undefined;
+      }
+      const hosts = settings.getHosts();
+      const candidates = membership.listLiveHosts()
+        .map((host) => ({ host, dataCentre: hosts.get(host)?.dataCentre }));
+      const owner = findOwner(upstream, published.dataCentre, candidates);
+      owners.set(upstream, owner);
+      return owner;
+    },
+    refreshView: () => {
+      const hosts = membership.listLiveHosts().join("\0");
+      if (hosts !== knownHosts) {
+        knownHosts = hosts;
+        owners.clear();
+      }
+    },
+  };
+}
--- a/packages/daemon/src/admission/create_owner_service.ts
+++ b/packages/daemon/src/admission/create_owner_service.ts
@@ -8,6 +8,7 @@
 import { ADMISSION_LIMITS } from "./constants.ts";
 import { ENTRY_CONVERSION } from "./convert_entry.ts";
 import { createLengthPredictor } from "./create_length_predictor.ts";
+import type { OwnerDirectory } from "./create_owner_directory.ts";
 import type { CacheEvent } from "./create_prefix_index.ts";
 import { decideOwner } from "./decide_owner.ts";
 import type { OwnerEffect } from "./owner_effect.ts";
@@ -20,8 +21,9 @@
   readonly context: Pick<DaemonContext, "clock" | "logger" | "metrics">;
   readonly settings: SettingsView;
   readonly load: LoadClient;
-  /** Tells whether this host owns an upstream by its own view. */
-  readonly isOwner: (upstream: string) => boolean;
+  readonly directory: OwnerDirectory;
+  /** Name of this host. */
+  readonly host: string;
   readonly sendMessage: (host: string, message: AdmissionMessage) => void;
   /** Called with every report that says whether the engine is leaving. */
   readonly noteLeaving: (upstream: string, isLeaving: boolean) => void;
@@ -56,6 +58,8 @@
   const predictor = createLengthPredictor();
   let timer: Timer | undefined;
 
+  const isOwner = (upstream: string) => options.directory.findOwner(upstream) === options.host;
+
   const getOwned = (upstream: string): OwnedUpstream => {
     const nowMs = context.clock.readMonotonicMs();
     const known = owned.get(upstream);
@@ -152,10 +156,11 @@
   };
 
   const tickUpstreams = () => {
+    options.directory.refreshView();
     const nowMs = context.clock.readMonotonicMs();
     for (const [name, upstream] of owned) {
       const published = settings.getUpstreams().get(name);
-      const isOwned = published !== undefined && options.isOwner(name);
+      const isOwned = published !== undefined && isOwner(name);
       const isIdle = upstream.state.running.size + upstream.state.queue.size === 0;
       if (!isOwned && isIdle && nowMs - upstream.usedMs > ADMISSION_LIMITS.formerOwnerMs) {
         owned.delete(name);
@@ -169,7 +174,7 @@
       void pollEngine(name, upstream);
     }
     for (const [name, published] of settings.getUpstreams()) {
-      if (published.kind === "engine" && options.isOwner(name)) {
+      if (published.kind === "engine" && isOwner(name)) {
         getOwned(name);
       }
     }
--- a/packages/daemon/src/admission/decide_owner.ts
+++ b/packages/daemon/src/admission/decide_owner.ts
@@ -2,11 +2,13 @@
 import { createQueueOrder } from "./create_queue_order.ts";
 import { estimateWaitMs } from "./estimate_wait_ms.ts";
 import { advanceHeadroom } from "./headroom_state.ts";
+import { hasRoom } from "./has_room.ts";
+import type { LoadReport } from "./load_report.ts";
 import { MEMORY_PROJECTION } from "./memory_projection.ts";
-import type { MemoryShare } from "./memory_projection.ts";
 import type { OwnerEffect, RefusalReason } from "./owner_effect.ts";
 import type { OwnerEvent } from "./owner_event.ts";
 import type { OwnerState, RunningGeneration } from "./owner_state.ts";
+import { projectEntry } from "./project_entry.ts";
 import type { QueueEntry } from "./queue_entry.ts";
 
 /** Changes the state of an upstream's owner by one event; returns what to tell entry daemons. */
@@ -120,7 +122,7 @@
     const share = projectEntry(state, entry, 0);
     const projectPeak = (deviations: number) =>
       MEMORY_PROJECTION.projectPeak(sums, share, deviations);
-    if (!isFitting(state, entry, nowMs, projectPeak)) {
+    if (!hasRoom(state, entry, nowMs, projectPeak)) {
       break;
     }
     state.queue.delete(entry.id);
@@ -131,49 +133,6 @@
   return effects;
 }
 
-function isFitting(
-  state: OwnerState,
-  entry: QueueEntry,
-  nowMs: number,
-  projectPeak: (deviations: number) => number,
-): boolean {
-  if (state.report === undefined && state.running.size >= ADMISSION_LIMITS.firstGrants) {
-    return false;
-  }
-  const isUrgent = entry.urgency <= ADMISSION_LIMITS.urgentClass;
-  if (isUrgent && nowMs - entry.askedMs >= ADMISSION_LIMITS.urgentPatienceMs) {
-    return state.running.size < state.maxBatch;
-  }
-  const hasUrgent = nowMs - state.urgentSeenMs < ADMISSION_LIMITS.urgentPresenceMs;
-  const isReserved = hasUrgent && !isUrgent;
-  const slots = computeBatchLimit(state, entry) - (isReserved ? ADMISSION_LIMITS.urgentSlots : 0);
-  if (state.running.size >= Math.max(1, slots)) {
-    return false;
-  }
-  const reserved = isReserved ? ADMISSION_LIMITS.urgentMemoryShare : 0;
-  const usable = state.capacityTokens * (1 - state.headroom.share - reserved) - state.foreignTokens;
-  const isIdle = state.running.size === 0 && state.foreignTokens === 0;
-  return isIdle || projectPeak(ADMISSION_LIMITS.projectionDeviations) <= usable;
-}
-
-function computeBatchLimit(state: OwnerState, entry: QueueEntry): number {
-  let targetMs = entry.tokenGapMs;
-  for (const running of state.running.values()) {
-    targetMs = Math.min(targetMs, running.entry.tokenGapMs);
-  }
-  const limit = state.gaps.computeBatchLimit(
-    targetMs * ADMISSION_LIMITS.gapTargetShare,
-    state.maxBatch,
-  );
-  return Math.min(limit, ADMISSION_LIMITS.maxRunning);
-}
-
-function projectEntry(state: OwnerState, entry: QueueEntry, produced: number): MemoryShare {
-  const question = { ...entry, produced };
-  const survival = state.predictor.predictSurvival(question, MEMORY_PROJECTION.horizons);
-  return { heldTokens: entry.promptTokens + produced, survival };
-}
-
 function startGrant(state: OwnerState, entry: QueueEntry, produced: number, nowMs: number): void {
   state.running.set(entry.id, {
     ...projectEntry(state, entry, produced),
@@ -249,7 +208,7 @@
 
 function decideReport(
   state: OwnerState,
-  report: RunningReport,
+  report: LoadReport,
   nowMs: number,
 ): OwnerEffect[] {
   const previous = state.report;
@@ -272,8 +231,6 @@
   return grantQueued(state, nowMs);
 }
 
-type RunningReport = NonNullable<OwnerState["report"]>;
-
 function computeHeld(running: Iterable<RunningGeneration>): number {
   let sum = 0;
   for (const { heldTokens } of running) {
--- /dev/null
+++ b/packages/daemon/src/admission/has_room.ts
@@ -0,0 +1,44 @@
+import { ADMISSION_LIMITS } from "./constants.ts";
+import type { OwnerState } from "./owner_state.ts";
+import type { QueueEntry } from "./queue_entry.ts";
+
+/**
+ * Tells whether an engine has room for one more generation: a batch slot within the token gap target
+ * and projected memory under the capacity less headroom. Some of both is kept for urgent entries.
+ */
+export function hasRoom(
+  state: OwnerState,
+  entry: QueueEntry,
+  nowMs: number,
+  projectPeak: (deviations: number) => number,
+): boolean {
+  if (state.report === undefined && state.running.size >= ADMISSION_LIMITS.firstGrants) {
+    return false;
+  }
+  const isUrgent = entry.urgency <= ADMISSION_LIMITS.urgentClass;
+  if (isUrgent && nowMs - entry.askedMs >= ADMISSION_LIMITS.urgentPatienceMs) {
+    return state.running.size < state.maxBatch;
+  }
+  const hasUrgent = nowMs - state.urgentSeenMs < ADMISSION_LIMITS.urgentPresenceMs;
+  const isReserved = hasUrgent && !isUrgent;
+  const slots = computeBatchLimit(state, entry) - (isReserved ? ADMISSION_LIMITS.urgentSlots : 0);
+  if (state.running.size >= Math.max(1, slots)) {
+    return false;
+  }
+  const reserved = isReserved ? ADMISSION_LIMITS.urgentMemoryShare : 0;
+  const usable = state.capacityTokens * (1 - state.headroom.share - reserved) - state.foreignTokens;
+  const isIdle = state.running.size === 0 && state.foreignTokens === 0;
+  return isIdle || projectPeak(ADMISSION_LIMITS.projectionDeviations) <= usable;
+}
+
+function computeBatchLimit(state: OwnerState, entry: QueueEntry): number {
+  let targetMs = entry.tokenGapMs;
+  for (const running of state.running.values()) {
+    targetMs = Math.min(targetMs, running.entry.tokenGapMs);
+  }
+  const limit = state.gaps.computeBatchLimit(
+    targetMs * ADMISSION_LIMITS.gapTargetShare,
+    state.maxBatch,
+  );
+  return Math.min(limit, ADMISSION_LIMITS.maxRunning);
+}
