--- a/packages/daemon/src/admission/create_admission.ts
+++ b/packages/daemon/src/admission/create_admission.ts
@@ -1,6 +1,4 @@
-import { createResultError } from "@crocussail/protocol";
 import type { Timer } from "@crocussail/protocol";
-import { Left } from "purify-ts";
 import type { LoadClient } from "../adapters/load_client.ts";
 import type { DaemonContext } from "../common/daemon_context.ts";
 import type { Membership } from "../membership/mod.ts";
@@ -14,9 +12,8 @@
 import { createGrantClient } from "./create_grant_client.ts";
 import { createGrantTable } from "./create_grant_table.ts";
 import { createLeavingList } from "./create_leaving_list.ts";
+import { createOwnerDirectory } from "./create_owner_directory.ts";
 import { createOwnerService } from "./create_owner_service.ts";
-import { createRetryBudget } from "./create_retry_budget.ts";
-import { findOwner } from "./find_owner.ts";
 import { leavingNoticeSchema } from "./leaving_notice_schema.ts";
 import { scoreExpectedTime } from "./score_expected_time.ts";
 
@@ -55,19 +52,12 @@
   const { clock, peers } = context;
   const leaving = createLeavingList();
   const view = createCandidateView({ settings, leaving });
-  const retryBudget = createRetryBudget();
   let noticeCount = 0;
   let timer: Timer | undefined;
 
-  const findUpstreamOwner = (upstream: string): string | undefined => {
-    const hosts = settings.getHosts();
-    const dataCentre = settings.getUpstreams().get(upstream)?.dataCentre ?? "";
-    const candidates = membership.listLiveHosts()
-      .map((host) => ({ host, dataCentre: hosts.get(host)?.dataCentre }));
-    return findOwner(upstream, dataCentre, candidates);
-  };
+  const directory = createOwnerDirectory({ settings, membership });
   const sendToOwner = (upstream: string, message: AdmissionMessage) => {
-    const host = findUpstreamOwner(upstream);
+    const host = directory.findOwner(upstream);
     if (host !== undefined) {
       peers.sendMessage(host, CHANNEL, message);
     }
@@ -107,7 +97,8 @@
     context,
     settings,
     load: options.load,
-    isOwner: (upstream) => findUpstreamOwner(upstream) === context.config.host.name,
+    directory,
+    host: context.config.host.name,
     sendMessage: (host, message) => peers.sendMessage(host, CHANNEL, message),
     noteLeaving,
     applyCacheEvents: (upstream, events) =>
@@ -121,7 +112,7 @@
     view,
     grants,
     score: options.score ?? scoreExpectedTime,
-    findOwner: findUpstreamOwner,
+    directory,
     isViewFresh: membership.isViewFresh,
     markLeaving: (upstream) => noteLeaving(upstream, true),
   });
@@ -151,18 +142,7 @@
   };
 
   return {
-    requestGrant: (request) => {
-      if (request.excluded.size === 0) {
-        retryBudget.noteFirstAttempt(settings.getFleetLimits().retryBudgetRatio);
-      } else if (!retryBudget.consumeRetry()) {
-        const detail = "the budget of retries inside the system is used up";
-        const retryAfterMs = ADMISSION_LIMITS.minRetryAfterMs;
-        return Promise.resolve(
-          Left(createResultError("retryBudgetSpent", detail, { retryAfterMs })),
-        );
-      }
-      return client.requestGrant(request);
-    },
+    requestGrant: client.requestGrant,
     start: () => {
       owners.start();
       renewGrants();
