Send peer frames as short arrays and back off from hosts that refuse links

Cause: a frame carried the names of its members, about 30 bytes more than the model counted, and a host that refused links was dialed anew for every message. Change: frames are arrays; a failed dial is repeated after 100 ms, doubling to 1.6 s, at random within the upper half; the model counts the real frames. The tests of hostile peers send the same frames in the new form, every case kept.

--- a/bench/src/fleet/create_fleet_model.ts
+++ b/bench/src/fleet/create_fleet_model.ts
@@ -13,7 +13,8 @@
   observeTime,
 } from "@crocussail/daemon/membership";
 import type { Heartbeat, MembershipEffect, MembershipState } from "@crocussail/daemon/membership";
-import { pack } from "msgpackr";
+import { encodePeerFrame } from "@crocussail/daemon/peers";
+import type { PeerFrame } from "@crocussail/daemon/peers";
 import { createSeededRandom } from "./create_seeded_random.ts";
 import type { FleetModelFault } from "./fleet_model_fault.ts";
 
@@ -51,11 +52,11 @@
 
 const STEP_MS = 20;
 const TICK_MS = 200;
-/** Frame as a request or reply: array, type, channel, id of three bytes. */
-const FRAME_BYTES = 8;
-/** WebSocket header and mask. */
+const CHANNEL = "m";
+/** Id of a request, as large as after some days. */
+const FRAME_ID = 100_000_000;
+/** WebSocket header of a frame above 125 bytes, with its mask. */
 const SOCKET_BYTES = 8;
-const RELAY_BYTES = 7;
 
 /**
  * Steps the decisions of many members through a table of messages on an injected clock. No process,
@@ -86,9 +87,7 @@
   const states: MembershipState[] = names.map((_, index) => createMember(index));
 
   const countBytes = (from: number, to: number, message: Message) => {
-    const body = "beat" in message ? pack(encodeHeartbeat(message.beat, options.riders ?? [])) : [];
-    const bytes = FRAME_BYTES + SOCKET_BYTES +
-      ("beat" in message ? body.length : RELAY_BYTES);
+    const bytes = encodePeerFrame(buildFrame(message)).length + SOCKET_BYTES;
     const sender = traffic[from];
     const receiver = traffic[to];
     if (sender !== undefined && receiver !== undefined) {
@@ -98,6 +97,29 @@
     }
   };
 
+  const buildFrame = (message: Message): PeerFrame => {
+    const id = FRAME_ID;
+    const riders = options.riders ?? [];
+    switch (message.type) {
+      case "probe":
+        return {
+          type: "request",
+          channel: CHANNEL,
+          id,
+          body: [0, encodeHeartbeat(message.beat, riders)],
+        };
+      case "reply":
+      case "syncReply":
+        return { type: "reply", id, body: encodeHeartbeat(message.beat, riders) };
+      case "sync":
+        return { type: "request", channel: CHANNEL, id, body: [1, null] };
+      case "relay":
+        return { type: "request", channel: CHANNEL, id, body: [2, 0xffffffff] };
+      case "relayed":
+        return { type: "reply", id, body: true };
+    }
+  };
+
   const send = (from: number, to: number, message: Message) => {
     if (options.isCounting === true) {
       countBytes(from, to, message);
--- a/packages/daemon/src/peers/constants.ts
+++ b/packages/daemon/src/peers/constants.ts
@@ -10,4 +10,10 @@
   maxPendingRequests: 10_000,
   /** Characters kept of the reason for rejecting a message. */
   maxReasonCharacters: 200,
+  /** Wait after the first failed attempt to reach a host, in milliseconds; doubles with each. */
+  minBackoffMs: 100,
+  /** Doublings of that wait. */
+  maxDoublings: 4,
+  /** Hosts whose failures are remembered; the oldest is forgotten at the bound. */
+  maxFailedHosts: 4_096,
 } as const;
--- a/packages/daemon/src/peers/create_peer_link.ts
+++ b/packages/daemon/src/peers/create_peer_link.ts
@@ -6,10 +6,12 @@
 import type { WebSocket } from "ws";
 import { acceptPeer } from "./accept_peer.ts";
 import { PEER_LIMITS } from "./constants.ts";
+import { decideDialBackoff } from "./decide_dial_backoff.ts";
+import type { DialFailures } from "./dial_backoff.ts";
 import { decodePeerFrame } from "./decode_peer_frame.ts";
 import { dialPeer } from "./dial_peer.ts";
 import type { PeerAddress } from "./peer_address.ts";
-import type { PeerFrame } from "./peer_frame_schema.ts";
+import type { PeerFrame } from "./peer_frame.ts";
 import type { PeerHandler, PeerLink } from "./peer_link.ts";
 import { sendPeerFrame } from "./send_peer_frame.ts";
 
@@ -44,6 +46,7 @@
   const handlers = new Map<string, PeerHandler>();
   const dialed = new Map<string, Promise<WebSocket>>();
   const accepted = new Set<WebSocket>();
+  const failures = new Map<string, DialFailures>();
   const pending = new Map<number, PendingRequest>();
   let server: WebSocketServer | undefined;
   let nextId = 1;
@@ -136,14 +139,29 @@
     return socket;
   };
 
+  const noteFailure = (host: string) => {
+    dialed.delete(host);
+    const [oldest] = failures.keys();
+    if (failures.size >= PEER_LIMITS.maxFailedHosts && oldest !== undefined) {
+      failures.delete(oldest);
+    }
+    const nowMs = options.clock.readMonotonicMs();
+    const next = decideDialBackoff(failures.get(host), nowMs, options.random.nextFloat());
+    failures.set(host, next);
+  };
+
   const getLink = (host: string): Promise<WebSocket> => {
     const existing = dialed.get(host);
     if (existing !== undefined) {
       return existing;
     }
+    const waitMs = (failures.get(host)?.retryAtMs ?? 0) - options.clock.readMonotonicMs();
+    if (waitMs > 0) {
+      return Promise.reject(new Error(`host ${host} is dialed again in ${Math.ceil(waitMs)} ms`));
+    }
     const opening = openLink(host);
     dialed.set(host, opening);
-    opening.catch(() => dialed.delete(host));
+    opening.then(() => failures.delete(host), () => noteFailure(host));
     return opening;
   };
 
--- a/packages/daemon/src/peers/send_peer_frame.ts
+++ b/packages/daemon/src/peers/send_peer_frame.ts
@@ -1,7 +1,7 @@
-import { pack } from "msgpackr";
 import type { WebSocket } from "ws";
 import { PEER_LIMITS } from "./constants.ts";
-import type { PeerFrame } from "./peer_frame_schema.ts";
+import { encodePeerFrame } from "./encode_peer_frame.ts";
+import type { PeerFrame } from "./peer_frame.ts";
 
 /** Sends a frame; drops it when the link is closed or holds too many unsent bytes. */
 export function sendPeerFrame(socket: WebSocket, frame: PeerFrame): void {
@@ -11,5 +11,5 @@
   if (socket.bufferedAmount > PEER_LIMITS.maxBufferedBytes) {
     return;
   }
-  socket.send(pack(frame));
+  socket.send(encodePeerFrame(frame));
 }
--- /dev/null
+++ b/packages/daemon/src/peers/wire_peer_frame_schema.ts
@@ -0,0 +1,15 @@
+import { z } from "zod";
+
+const channelSchema = z.string().max(64);
+const idSchema = z.number().int();
+
+/** Frame on the wire: a short array whose first element tells the type. */
+export const wirePeerFrameSchema = z.union([
+  z.tuple([z.literal(0), channelSchema, z.unknown()]),
+  z.tuple([z.literal(1), channelSchema, idSchema, z.unknown()]),
+  z.tuple([z.literal(2), idSchema, z.unknown()]),
+  z.tuple([z.literal(3), idSchema, z.string()]),
+]);
+
+/** Frame on the wire. */
+export type WirePeerFrame = z.infer<typeof wirePeerFrameSchema>;
--- a/packages/local_fleet/src/hostile_peers_test.ts
+++ b/packages/local_fleet/src/hostile_peers_test.ts
@@ -88,7 +88,7 @@
     { title: "a wrong type", answer: () => pack({ type: "proof", host: 7 }) },
     {
       title: "a frame before the handshake",
-      answer: () => pack({ type: "reply", id: 1, body: 1 }),
+      answer: () => pack([2, 1, 1]),
     },
   ];
   for (const { title, answer } of proofs) {
@@ -143,8 +143,8 @@
       }
       isWelcome = true;
       frames.forEach(([channel, body], id) => {
-        socket.send(pack({ type: "message", channel, body: encodeBody(body) }));
-        socket.send(pack({ type: "request", channel, id, body: encodeBody(body) }));
+        socket.send(pack([0, channel, encodeBody(body)]));
+        socket.send(pack([1, channel, id, encodeBody(body)]));
       });
       socket.close();
     });
