--- a/bench/src/fleet/create_settings_model.ts
+++ b/bench/src/fleet/create_settings_model.ts
@@ -40,6 +40,8 @@
   /** Largest number of calls to the service within one second since the last reset. */
   countPeakCalls(): number;
   resetCalls(): void;
+  /** Messages sent between daemons since the start, without heartbeats. */
+  countExchanges(): { readonly pulls: number; readonly offers: number };
 }
 
 interface ModelDaemon {
@@ -70,6 +72,8 @@
   const changes: SettingsUpdate[] = [];
   const daemons: (ModelDaemon | undefined)[] = [];
   const calls = new Map<number, number>();
+  let pulls = 0;
+  let offers = 0;
   let isDown = false;
   let shownCount: number | undefined;
 
@@ -179,9 +183,10 @@
           digest: peer.agent.buildDigest(table.readNowMs()),
         }), { type: "askFailed", from: effect.host });
       case "pull": {
+        pulls += 1;
         const request = {
           known: daemon.state.getHighestRevision(),
-          buckets: daemon.state.digest.copyBuckets(),
+          buckets: effect.comparesAll ? daemon.state.digest.copyBuckets() : undefined,
           after: effect.after,
         };
         return exchange(daemon, effect.host, (peer) => ({
@@ -194,6 +199,7 @@
         }), { type: "pullFailed", from: effect.host });
       }
       case "offer": {
+        offers += 1;
         const digest = daemon.agent.buildDigest(table.readNowMs());
         return deliver(
           effect.host,
@@ -297,5 +303,6 @@
       return Math.max(0, ...slots.map(countFrom));
     },
     resetCalls: () => calls.clear(),
+    countExchanges: () => ({ pulls, offers }),
   };
 }
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -4,7 +4,12 @@
 export type { PublishedBatch, PublishedValue, SettingsSource } from "./adapters/settings_source.ts";
 export { createHttpPlacementClient } from "./adapters/create_http_placement_client.ts";
 export type { PlacementClient } from "./adapters/placement_client.ts";
-export { computeWantedPlacement } from "./placement/mod.ts";
+export {
+  computeWantedPlacement,
+  createSlotOwnerState,
+  createSlotVoterState,
+  PLACEMENT_LIMITS,
+} from "./placement/mod.ts";
 export { resolveDaemonConfig } from "./config/mod.ts";
 export type { ResolvedDaemonConfig } from "./config/mod.ts";
 export { createDaemon } from "./create_daemon.ts";
--- a/packages/daemon/src/settings/create_settings.ts
+++ b/packages/daemon/src/settings/create_settings.ts
@@ -113,7 +113,7 @@
       case "ask":
         return void ask(effect.host);
       case "pull":
-        return void pull(effect.host, effect.after);
+        return void pull(effect);
       case "offer":
         return sendOffer(effect.host);
       case "notify":
@@ -166,11 +166,11 @@
         : { type: "peerDigest", from: host, digest: page.digest },
     );
   };
-  const pull = async (host: string, after: string | undefined) => {
+  const pull = async ({ host, comparesAll, after }: SettingsEffect & { type: "pull" }) => {
     const page = await requestPage(host, {
       kind: "pull",
       known: state.getHighestRevision(),
-      buckets: state.digest.copyBuckets(),
+      ...(comparesAll ? { buckets: state.digest.copyBuckets() } : {}),
       ...(after === undefined ? {} : { after }),
     });
     dispatchAnswer(
--- a/packages/daemon/src/settings/peer_sync_state.ts
+++ b/packages/daemon/src/settings/peer_sync_state.ts
@@ -36,6 +36,8 @@
   settled?: string;
   /** Own hash that has been offered to the peer. */
   offered?: string;
+  /** Whether the peer has shown a digest since the offer. */
+  hasAnswered: boolean;
   pagesInRow: number;
   next?: string | undefined;
 }
@@ -55,7 +57,7 @@
     if (peers.size >= SETTINGS_LIMITS.maxTrackedPeers && oldest !== undefined) {
       peers.delete(oldest);
     }
-    const created: TrackedPeer = { pagesInRow: 0 };
+    const created: TrackedPeer = { pagesInRow: 0, hasAnswered: false };
     peers.set(host, created);
     return created;
   };
@@ -71,7 +73,7 @@
 
   return {
     observeDigest: (from, digest) => {
-      trackPeer(from).digest = digest;
+      Object.assign(trackPeer(from), { digest, hasAnswered: true });
       if (asked.has(from)) {
         asked.set(from, "answered");
       }
@@ -100,15 +102,21 @@
         if (peer.digest === undefined || isSettled(peer, own[0]) || pulling.has(host)) {
           continue;
         }
-        if (peer.digest[1] < own[1] && peer.offered !== own[0]) {
-          peer.offered = own[0];
+        const isBehind = peer.digest[1] < own[1];
+        if (isBehind && peer.offered !== own[0]) {
+          Object.assign(peer, { offered: own[0], hasAnswered: false });
           effects.push({ type: "offer", host });
           continue;
         }
+        if (isBehind && !peer.hasAnswered) {
+          continue;
+        }
         if (pulling.size < SETTINGS_LIMITS.maxPulls) {
           pulling.add(host);
           const { next } = peer;
-          effects.push({ type: "pull", host, ...(next === undefined ? {} : { after: next }) });
+          const comparesAll = peer.digest[1] <= own[1];
+          const after = next === undefined ? {} : { after: next };
+          effects.push({ type: "pull", host, comparesAll, ...after });
         }
       }
       return effects;
--- a/packages/daemon/src/settings/select_settings_page.ts
+++ b/packages/daemon/src/settings/select_settings_page.ts
@@ -8,8 +8,8 @@
 export interface PullRequest {
   /** Highest revision it holds. */
   readonly known: number;
-  /** Hashes of its buckets. */
-  readonly buckets: Uint8Array;
+  /** Hashes of its buckets; absent when only higher revisions are wanted. */
+  readonly buckets?: Uint8Array | undefined;
   /** Last path of the page before, when the buckets that differ fill several pages. */
   readonly after?: string | undefined;
 }
@@ -49,9 +49,12 @@
 }
 
 function listDifferent(state: SettingsState, request: PullRequest): SettingsEntry[] {
-  const { after } = request;
+  const { after, buckets } = request;
+  if (buckets === undefined) {
+    return [];
+  }
   return [...state.listEntries()]
-    .filter(({ newest }) => state.digest.isDifferent(newest.path, request.buckets))
+    .filter(({ newest }) => state.digest.isDifferent(newest.path, buckets))
     .filter(({ newest }) => after === undefined || newest.path > after)
     .sort((left, right) => left.newest.path < right.newest.path ? -1 : 1);
 }
--- a/packages/daemon/src/settings/settings_effect.ts
+++ b/packages/daemon/src/settings/settings_effect.ts
@@ -7,7 +7,13 @@
   | { readonly type: "openWatch"; readonly after: number }
   | { readonly type: "closeWatch" }
   | { readonly type: "ask"; readonly host: string }
-  | { readonly type: "pull"; readonly host: string; readonly after?: string }
+  | {
+    readonly type: "pull";
+    readonly host: string;
+    /** Whether to compare all paths; left out where the peer holds a higher revision. */
+    readonly comparesAll: boolean;
+    readonly after?: string;
+  }
   | { readonly type: "offer"; readonly host: string }
   /** Other settings are in force. */
   | { readonly type: "notify" }
--- a/packages/daemon/src/settings/settings_message_schema.ts
+++ b/packages/daemon/src/settings/settings_message_schema.ts
@@ -15,12 +15,12 @@
     kind: z.literal("pull"),
     /** Highest revision that the asking daemon holds. */
     known: z.number().int().nonnegative(),
-    /** Hashes of its buckets. */
+    /** Hashes of its buckets; absent when only higher revisions are wanted. */
     buckets: z.custom<Uint8Array>(
       (bytes) =>
         bytes instanceof Uint8Array && bytes.length === SETTINGS_LIMITS.buckets * BUCKET_BYTES,
       "expected one hash for each bucket",
-    ),
+    ).optional(),
     /** Last path of the page before, when it was cut. */
     after: z.string().optional(),
   }),
