Give the load tool's calls a timeout of their own

Cause: calls of a paused host waited for its wake-up. Change: entry, orders and reads try another host after a bound.

--- a/packages/cli/src/load/create_entry_cache.ts
+++ b/packages/cli/src/load/create_entry_cache.ts
@@ -19,6 +19,8 @@
   clear(): void;
 }
 
+const ENTRY_TIMEOUT_MS = 1_000;
+
 /** Creates an empty cache. */
 export function createEntryCache(options: EntryCacheOptions): EntryCache {
   let known: { answer: EntryAnswer; expiresMs: number } | undefined;
@@ -28,7 +30,7 @@
     const failures: string[] = [];
     for (const url of urls) {
       try {
-        const answer = await request(`${url}/v1/entry`);
+        const answer = await request(`${url}/v1/entry`, { headersTimeout: ENTRY_TIMEOUT_MS });
         return entryAnswerSchema.parse(await answer.body.json());
       } catch (error) {
         failures.push(`${url}: ${error}`);
--- a/packages/cli/src/load/load_plan.ts
+++ b/packages/cli/src/load/load_plan.ts
@@ -25,7 +25,7 @@
   readonly weights: Readonly<Record<LoadKind, number>>;
   /** Share of streams that are dropped once and resumed at another host. */
   readonly resumeShare: number;
-  /** Time without a byte of a stream after which it is resumed elsewhere, in milliseconds. */
+  /** Time without a byte of an answer after which another host is tried, in milliseconds. */
   readonly stallMs: number;
   /** Time after which an answer counts as late, in milliseconds. */
   readonly deadlineMs: number;
--- a/packages/cli/src/load/send_order.ts
+++ b/packages/cli/src/load/send_order.ts
@@ -72,6 +72,7 @@
       "idempotency-key": order.key,
     },
     body: order.body,
+    headersTimeout: plan.stallMs,
   });
   return readCallAnswer(answer);
 }
--- a/packages/cli/src/load/send_read.ts
+++ b/packages/cli/src/load/send_read.ts
@@ -26,6 +26,7 @@
     const url = await entry.pickUrl();
     const answer = await request(`${url}/v1/services/${plan.service}${plan.readPath}`, {
       headers: { authorization: `Bearer ${plan.apiKey}` },
+      headersTimeout: plan.stallMs,
     });
     const { problem } = await readCallAnswer(answer);
     const result = getCallResult(problem);
