--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -8,6 +8,12 @@
 export type { EngineModelOptions } from "./engine/engine_model_options.ts";
 export type { EngineSink } from "./engine/engine_sink.ts";
 export type { EngineEvent } from "./engine/engine_event.ts";
+export { createPlacementEngine } from "./placement_engine/create_placement_engine.ts";
+export type {
+  EngineCopy,
+  PlacementEngine,
+  PlacementEngineOptions,
+} from "./placement_engine/create_placement_engine.ts";
 export { createPlainService } from "./service/create_plain_service.ts";
 export type { PlainService } from "./service/create_plain_service.ts";
 export { createSettingsService } from "./settings_service/create_settings_service.ts";
