--- a/packages/daemon/src/orders/create_order_runner.ts
+++ b/packages/daemon/src/orders/create_order_runner.ts
@@ -101,6 +101,7 @@
     journal.recordDecision(call.requestId, "orders", "answered", {
       answer: describeAnswer(answer),
     });
+    context.metrics.increment("orders.ended", 1, { answer: describeAnswer(answer) });
     logger.writeEvent("orderEnded", { request: call.requestId, answer: describeAnswer(answer) });
     return convertAnswer(answer, response);
   };
--- a/packages/daemon/src/orders/create_order_tables.ts
+++ b/packages/daemon/src/orders/create_order_tables.ts
@@ -75,10 +75,6 @@
       recount();
       return true;
     },
-    removeDuty: (incarnation) => {
-      duties.delete(incarnation);
-      recount();
-    },
     bumpEpochs: () => {
       for (const table of duties.values()) {
         bumpEpoch(table);
--- a/packages/daemon/src/orders/create_replica.ts
+++ b/packages/daemon/src/orders/create_replica.ts
@@ -14,6 +14,8 @@
 import { listSuccessors } from "./list_successors.ts";
 import { ORDER_CHANNEL } from "./order_channel.ts";
 import { orderMessageSchema } from "./order_message_schema.ts";
+import type { OrderMessage } from "./order_message_schema.ts";
+import type { OrderReply } from "./order_reply_schema.ts";
 import { transferDuty } from "./transfer_duty.ts";
 
 /** Options of {@link createReplica}. */
@@ -50,6 +52,7 @@
   const self = context.config.host.name;
   const tables = createOrderTables({ host: self, incarnation });
   const timers = new Map<string, Timer>();
+  let isFullReported = false;
 
   const publishDuty = (table: DutyTable) =>
     membership.publishNotice({
@@ -78,11 +81,22 @@
     );
   };
   repeatEvery("epochs", ORDER_LIMITS.epochMs, () => {
+    isFullReported = false;
     tables.bumpEpochs();
     adopter.dropStaleCopies();
   });
   repeatEvery("notices", NOTICE_MS, () => listAdopted().forEach(publishDuty));
 
+  /** Reports a full table once an epoch. */
+  const applyOrder = (message: OrderMessage): OrderReply => {
+    const reply = tables.applyMessage(message);
+    if (reply.type === "full" && !isFullReported) {
+      isFullReported = true;
+      logger.writeEvent("orderTableFull", { records: tables.countRecords() });
+    }
+    return reply;
+  };
+
   const readIdentity = () => {
     const epoch = tables.duties.get(incarnation)?.duty.epoch ?? 0;
     return { incarnation, epoch };
@@ -97,7 +111,7 @@
       case "commit":
         return adopter.applyTransfer(message);
       default:
-        return tables.applyMessage(message);
+        return applyOrder(message);
     }
   });
 
--- a/packages/daemon/src/orders/order_tables.ts
+++ b/packages/daemon/src/orders/order_tables.ts
@@ -10,8 +10,6 @@
   readonly duties: ReadonlyMap<string, DutyTable>;
   /** Adds an adopted duty; false at the bound of duties or records. */
   addDuty(table: DutyTable): boolean;
-  /** Drops a duty, which then answers `expired`. */
-  removeDuty(incarnation: string): void;
   /** Advances the epoch of every duty, and drops adopted duties whose keys have expired. */
   bumpEpochs(): void;
   countRecords(): number;
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -52,6 +52,12 @@
     unit: "calls",
     meaning: "Calls of plain services running on this daemon",
   },
+  "orders.ended": {
+    type: "counter",
+    unit: "orders",
+    meaning:
+      "Calls that may not repeat, by tag `answer`: completed, unknown, notRun, contended ...",
+  },
   "process.cpu": {
     type: "gauge",
     unit: "ratio",
