--- a/packages/daemon/src/orders/create_order_runner.ts
+++ b/packages/daemon/src/orders/create_order_runner.ts
@@ -69,7 +69,7 @@
 
   const runCall: OrderRunner["runCall"] = async (call, key, prefix) => {
     if (!await waitFreshView(options, call.deadlineMs)) {
-      const detail = "this daemon was paused and is reading its settings again";
+      const detail = "this daemon has just started or was paused, and asks its peers first";
       return Left(createOrderProblem({ type: "noMajority", detail }));
     }
     const { request, team } = call;
@@ -101,6 +101,7 @@
     journal.recordDecision(call.requestId, "orders", "answered", {
       answer: describeAnswer(answer),
     });
+    context.metrics.increment("orders.ended", 1, { answer: describeAnswer(answer) });
     logger.writeEvent("orderEnded", { request: call.requestId, answer: describeAnswer(answer) });
     return convertAnswer(answer, response);
   };
