--- a/packages/daemon/src/admission/constants.ts
+++ b/packages/daemon/src/admission/constants.ts
@@ -12,7 +12,9 @@
   maxRunning: 1_024,
   /** Queue places that one request holds at once. */
   maxPlaces: 3,
-  /** Waiting time that raises an entry by one urgency class. */
+  /** One of so many grants goes to the longest waiting entry, whatever its urgency. */
+  agedGrantEvery: 10,
+  /** Waiting time after which an entry may take such a grant. */
   agingMs: 60_000,
   /** Entries with less than this share of their time left go before the others of their class. */
   criticalSlackShare: 0.7,
--- a/packages/daemon/src/admission/create_queue_order.ts
+++ b/packages/daemon/src/admission/create_queue_order.ts
@@ -8,13 +8,15 @@
   compareEntries(left: QueueEntry, right: QueueEntry): number;
   /** Returns the entry that goes first, or undefined when there is none. */
   findFirst(entries: Iterable<QueueEntry>): QueueEntry | undefined;
+  /** Returns the entry that has waited longest, if it has waited for the aging time. */
+  findAged(entries: Iterable<QueueEntry>): QueueEntry | undefined;
   /** Returns the number of entries that go before one. */
   countBefore(entries: Iterable<QueueEntry>, entry: QueueEntry): number;
 }
 
 /**
- * Creates the order of a queue: urgency class raised by waiting, then entries that run out of time,
- * then the team least served for its weight, then the deadline, then the arrival.
+ * Creates the order of a queue: urgency class, then entries that run out of time, then the team least
+ * served for its weight, then the deadline, then the arrival.
  */
 export function createQueueOrder(service: TeamService, nowMs: number): QueueOrder {
   const shares = new Map<string, number>();
@@ -28,17 +30,13 @@
     shares.set(entry.team, share);
     return share;
   };
-  const computeClass = (entry: QueueEntry): number => {
-    const raised = Math.floor((nowMs - entry.askedMs) / ADMISSION_LIMITS.agingMs);
-    return Math.max(0, entry.urgency - raised);
-  };
   const computeHaste = (entry: QueueEntry): number => {
     const budgetMs = entry.deadlineMs - entry.askedMs;
     const slackMs = entry.deadlineMs - nowMs;
     return slackMs < budgetMs * ADMISSION_LIMITS.criticalSlackShare ? 0 : 1;
   };
   const compareEntries = (left: QueueEntry, right: QueueEntry): number =>
-    computeClass(left) - computeClass(right) ||
+    left.urgency - right.urgency ||
     computeHaste(left) - computeHaste(right) ||
     getShare(left) - getShare(right) ||
     left.deadlineMs - right.deadlineMs ||
@@ -53,6 +51,14 @@
       }
       return first;
     },
+    findAged: (entries) => {
+      let oldest: QueueEntry | undefined;
+      for (const entry of entries) {
+        oldest = oldest === undefined || entry.askedMs < oldest.askedMs ? entry : oldest;
+      }
+      const isAged = oldest !== undefined && nowMs - oldest.askedMs >= ADMISSION_LIMITS.agingMs;
+      return isAged ? oldest : undefined;
+    },
     countBefore: (entries, entry) => {
       let count = 0;
       for (const each of entries) {
--- a/packages/daemon/src/admission/decide_owner.ts
+++ b/packages/daemon/src/admission/decide_owner.ts
@@ -115,7 +115,9 @@
   const sums = MEMORY_PROJECTION.sumShares(state.running.values());
   const order = createQueueOrder(state.service, nowMs);
   for (;;) {
-    const entry = order.findFirst(state.queue.values());
+    const isAgedTurn = state.grantsSinceAged >= ADMISSION_LIMITS.agedGrantEvery - 1;
+    const aged = isAgedTurn ? order.findAged(state.queue.values()) : undefined;
+    const entry = aged ?? order.findFirst(state.queue.values());
     if (entry === undefined) {
       break;
     }
@@ -125,6 +127,7 @@
     if (!hasRoom(state, entry, nowMs, projectPeak)) {
       break;
     }
+    state.grantsSinceAged = aged === undefined ? state.grantsSinceAged + 1 : 0;
     state.queue.delete(entry.id);
     startGrant(state, entry, 0, nowMs);
     MEMORY_PROJECTION.addShare(sums, share);
--- a/packages/daemon/src/admission/decide_owner_test.ts
+++ b/packages/daemon/src/admission/decide_owner_test.ts
@@ -128,6 +128,23 @@
     expect(owner.apply({ type: "tick" }, urgentPatienceMs)).to.deep.equal(["grant urgent"]);
   });
 
+  it("does not let a planner starve behind a stream of more urgent work", () => {
+    const owner = createTestOwner();
+    submitAsks(owner, ["a", "b", "c", "d", "planner"]);
+    const granted: string[] = [];
+    let running = ["a", "b", "c", "d"];
+    for (let round = 0; round < 3 * ADMISSION_LIMITS.agedGrantEvery; round++) {
+      const nowMs = ADMISSION_LIMITS.agingMs + round;
+      const changes = { urgency: 3, askedMs: nowMs, deadlineMs: nowMs + 600_000 };
+      owner.apply({ type: "ask", entry: makeEntry(`more-${round}`, changes) }, nowMs);
+      const effects = owner.apply({ type: "release", id: running[0] as string }, nowMs);
+      const ids = effects.map((effect) => effect.replace("grant ", ""));
+      running = [...running.slice(1), ...ids];
+      granted.push(...ids);
+    }
+    expect(granted.indexOf("planner")).to.be.within(0, ADMISSION_LIMITS.agedGrantEvery);
+  });
+
   describe("after a change of owner", () => {
     it("grants little before the engine's first report", () => {
       const owner = createTestOwner("none");
--- a/packages/daemon/src/admission/owner_state.ts
+++ b/packages/daemon/src/admission/owner_state.ts
@@ -40,6 +40,8 @@
   isLeaving: boolean;
   /** Time of the last urgent request. */
   urgentSeenMs: number;
+  /** Grants since the last one that went to the longest waiting entry. */
+  grantsSinceAged: number;
 }
 
 /** Options of {@link createOwnerState}. */
@@ -71,5 +73,6 @@
     foreignTokens: 0,
     isLeaving: false,
     urgentSeenMs: Number.NEGATIVE_INFINITY,
+    grantsSinceAged: 0,
   };
 }
