--- /dev/null
+++ b/packages/daemon/src/placement/create_memory_copy.ts
@@ -0,0 +1,16 @@
+import type { PlacementStatus } from "../adapters/placement_status_schema.ts";
+
+type Copy = PlacementStatus["copies"][number];
+
+/** Creates a serving copy of an engine in memory, for tests. */
+export function createMemoryCopy(model: string, version: string, fields: Partial<Copy> = {}): Copy {
+  return {
+    model,
+    version,
+    adapters: [],
+    role: "mixed",
+    state: "ready",
+    isServing: true,
+    ...fields,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/placement/create_memory_engine.ts
@@ -0,0 +1,69 @@
+import { createResultError } from "@crocussail/protocol";
+import type { ResultError } from "@crocussail/protocol";
+import { Left, Right } from "purify-ts";
+import type { Either } from "purify-ts";
+import type { PlacementOrder } from "../adapters/placement_order_schema.ts";
+import type { PlacementStatus } from "../adapters/placement_status_schema.ts";
+import { createMemoryCopy } from "./create_memory_copy.ts";
+
+type Copy = PlacementStatus["copies"][number];
+
+/** Options of {@link createMemoryEngine}. */
+export interface MemoryEngineOptions {
+  /** Whether orders with an older fencing number are refused. */
+  readonly checks: boolean;
+  /** Version whose ready check fails. */
+  readonly bad?: string;
+}
+
+/** Engine in memory, for tests; loads end at once. */
+export interface MemoryEngine {
+  fence: number;
+  readonly capacity: number;
+  copies: Copy[];
+  /** Orders taken, as `kind model@version`. */
+  readonly orders: string[];
+  applyOrder(order: PlacementOrder): Either<ResultError, void>;
+}
+
+/** Creates an engine in memory that holds `copies`. */
+export function createMemoryEngine(copies: Copy[], options: MemoryEngineOptions): MemoryEngine {
+  const engine: MemoryEngine = {
+    fence: 0,
+    capacity: 2,
+    copies,
+    orders: [],
+    applyOrder: (order) => {
+      if (options.checks && order.fence < engine.fence) {
+        return Left(createResultError("placementRefused", "old fencing number"));
+      }
+      engine.fence = Math.max(engine.fence, order.fence);
+      engine.orders.push(`${order.kind} ${order.model}@${order.version}`);
+      engine.copies = applyToCopies(engine.copies, order, options);
+      return Right(undefined);
+    },
+  };
+  return engine;
+}
+
+function applyToCopies(
+  copies: readonly Copy[],
+  { kind, model, version }: PlacementOrder,
+  options: MemoryEngineOptions,
+): Copy[] {
+  const isNamed = (copy: Copy) => copy.model === model && copy.version === version;
+  switch (kind) {
+    case "load": {
+      const state = version === options.bad ? "failed" : "ready";
+      return [...copies, createMemoryCopy(model, version, { state, isServing: false })];
+    }
+    case "serve":
+      return copies.map((copy) =>
+        copy.model === model ? { ...copy, isServing: isNamed(copy) } : copy
+      );
+    case "unload":
+      return copies.filter((copy) => !isNamed(copy));
+    case "keep":
+      return [...copies];
+  }
+}
--- a/packages/daemon/src/placement/run_engine_step_test.ts
+++ b/packages/daemon/src/placement/run_engine_step_test.ts
@@ -2,56 +2,19 @@
 import { expect } from "chai";
 import { Left, Right } from "purify-ts";
 import type { PlacementClient } from "../adapters/placement_client.ts";
-import type { PlacementOrder } from "../adapters/placement_order_schema.ts";
-import type { PlacementStatus } from "../adapters/placement_status_schema.ts";
 import { createManualClock } from "../common/create_manual_clock.ts";
 import { PLACEMENT_LIMITS } from "./constants.ts";
+import { createMemoryCopy } from "./create_memory_copy.ts";
+import { createMemoryEngine } from "./create_memory_engine.ts";
+import type { MemoryEngine } from "./create_memory_engine.ts";
 import { runEngineStep } from "./run_engine_step.ts";
 import type { EngineStep, EngineStepTools } from "./run_engine_step.ts";
 
-type Copy = PlacementStatus["copies"][number];
-
-const makeCopy = (model: string, version: string, fields: Partial<Copy> = {}): Copy => ({
-  model,
-  version,
-  adapters: [],
-  role: "mixed",
-  state: "ready",
-  isServing: true,
-  ...fields,
-});
-
-/** Engine in memory; loads end at once, and those of bad versions fail their ready check. */
-const makeEngine = (copies: Copy[], options: { checks: boolean; bad?: string }) => {
-  const engine = { fence: 0, capacity: 2, copies, orders: [] as string[] };
-  const applyOrder = (order: PlacementOrder) => {
-    const { kind, model, version } = order;
-    const isNamed = (copy: Copy) => copy.model === model && copy.version === version;
-    if (options.checks && order.fence < engine.fence) {
-      return Left(createResultError("placementRefused", "old fencing number"));
-    }
-    engine.fence = Math.max(engine.fence, order.fence);
-    engine.orders.push(`${kind} ${model}@${version}`);
-    if (kind === "load") {
-      const state = version === options.bad ? "failed" : "ready";
-      engine.copies.push(makeCopy(model, version, { state, isServing: false }));
-    }
-    if (kind === "serve") {
-      engine.copies = engine.copies.map((copy) =>
-        copy.model === model ? { ...copy, isServing: isNamed(copy) } : copy
-      );
-    }
-    if (kind === "unload") {
-      engine.copies = engine.copies.filter((copy) => !isNamed(copy));
-    }
-    return Right(undefined);
-  };
-  return Object.assign(engine, { applyOrder });
-};
-type Engine = ReturnType<typeof makeEngine>;
+const makeEngine = createMemoryEngine;
+const makeCopy = createMemoryCopy;
 
 const makeTools = (
-  engines: Readonly<Record<string, Engine>>,
+  engines: Readonly<Record<string, MemoryEngine>>,
   tools: Partial<EngineStepTools> = {},
 ): EngineStepTools => {
   const client: PlacementClient = {
