--- a/bench/src/relay/start_relay_fixture.ts
+++ b/bench/src/relay/start_relay_fixture.ts
@@ -1,6 +1,7 @@
 import { createProcessDaemon, resolveDaemonConfig } from "@crocussail/daemon";
 import { once } from "node:events";
 import { Worker } from "node:worker_threads";
+import type { HostValue } from "./host_value.ts";
 import type { LoadOrder } from "./load_order.ts";
 import type { LoadResult } from "./load_result.ts";
 
@@ -19,6 +20,8 @@
 
 const API_KEY = "relay-bench-key";
 const LOG_LEVEL_ERROR = 0;
+/** Time in which the daemon learns of itself, owns the upstreams and reads their load. */
+const OWNERSHIP_MS = 4_000;
 
 /** Starts the daemon, the engine and the load. */
 export async function startRelayFixture(): Promise<RelayFixture> {
@@ -31,6 +34,10 @@
   const config = resolveDaemonConfig({ file: "bench.ini", text }).unsafeCoerce();
   const daemon = createProcessDaemon(config, { logLevel: LOG_LEVEL_ERROR });
   const ports = await daemon.start();
+  const value = `address = 127.0.0.1\ncaller_port = ${ports.caller}\n` +
+    `peer_port = ${ports.peer}\ndata_centre = toledo\n`;
+  source.postMessage({ path: "hosts/host-1", value } satisfies HostValue);
+  await new Promise((resolve) => setTimeout(resolve, OWNERSHIP_MS));
   return {
     daemonUrl: `http://127.0.0.1:${ports.caller}`,
     engineUrl,
