--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics, RandomSource } from "@crocussail/protocol";
 import type { AddressInfo } from "node:net";
 import type { EngineClient } from "./adapters/engine_client.ts";
+import type { PlacementClient } from "./adapters/placement_client.ts";
 import type { ProcessUsage } from "./adapters/process_usage.ts";
 import type { LoadClient } from "./adapters/load_client.ts";
 import type { ServiceClient } from "./adapters/service_client.ts";
@@ -15,6 +16,7 @@
 import { createMembership } from "./membership/mod.ts";
 import { createOrders } from "./orders/mod.ts";
 import { createPeerLink } from "./peers/mod.ts";
+import { createPlacement } from "./placement/mod.ts";
 import { createSettings } from "./settings/mod.ts";
 import { createShutdown } from "./shutdown/mod.ts";
 import { createJournal, createProcessReporter, createStateDump } from "./state_dump/mod.ts";
@@ -30,6 +32,7 @@
   readonly engine: EngineClient;
   readonly load: LoadClient;
   readonly service: ServiceClient;
+  readonly placementClient: PlacementClient;
   readonly readUsage: () => ProcessUsage;
   /** Certificate and key of the callers' listener. */
   readonly tls?: TlsMaterial;
@@ -105,6 +108,13 @@
     membership,
     service: options.service,
   });
+  const placement = createPlacement({
+    context,
+    settings: settings.view,
+    membership,
+    client: options.placementClient,
+    isSettingsReady: settings.isReady,
+  });
   const entry = createEntry({
     context,
     settings: settings.view,
@@ -141,6 +151,7 @@
     settings.stop();
     membership.stop();
     admission.stop();
+    placement.stop();
     orders.stop();
     generations.stop();
     await callerServer.close();
@@ -165,6 +176,7 @@
       admission: admission.dumpState,
       generations: generations.dumpState,
       orders: orders.dumpState,
+      placement: placement.dumpState,
     },
   });
 
@@ -176,6 +188,7 @@
       await settings.start();
       membership.start();
       admission.start();
+      placement.start();
       reporter.start();
       await callerServer.listen({ host: listen.address, port: listen.callerPort });
       await operatorServer.listen({ host: listen.operatorAddress, port: listen.operatorPort });
