--- a/packages/daemon/src/orders/create_order_runner.ts
+++ b/packages/daemon/src/orders/create_order_runner.ts
@@ -13,6 +13,7 @@
 import type { ReplicaLink } from "./replica_link.ts";
 import { runClaimant } from "./run_claimant.ts";
 import { runOrder } from "./run_order.ts";
+import { waitFreshView } from "./wait_fresh_view.ts";
 import type { ServiceCall } from "./service_call.ts";
 
 /** Options of {@link createOrderRunner}. */
@@ -67,8 +68,8 @@
   };
 
   const runCall: OrderRunner["runCall"] = async (call, key, prefix) => {
-    if (!options.membership.isViewFresh()) {
-      const detail = "this daemon was paused and is reading its settings again";
+    if (!await waitFreshView(options, call.deadlineMs)) {
+      const detail = "this daemon has just started or was paused, and asks its peers first";
       return Left(createOrderProblem({ type: "noMajority", detail }));
     }
     const { request, team } = call;
@@ -100,6 +101,7 @@
     journal.recordDecision(call.requestId, "orders", "answered", {
       answer: describeAnswer(answer),
     });
+    context.metrics.increment("orders.ended", 1, { answer: describeAnswer(answer) });
     logger.writeEvent("orderEnded", { request: call.requestId, answer: describeAnswer(answer) });
     return convertAnswer(answer, response);
   };
