--- a/bench/src/fleet/main.ts
+++ b/bench/src/fleet/main.ts
@@ -3,9 +3,17 @@
 import { measureControl } from "./measure_control.ts";
 import { measureEntry } from "./measure_entry.ts";
 import { measureMembership } from "./measure_membership.ts";
+import { measurePlacement } from "./placement_section.ts";
+import { measureSettings } from "./settings_section.ts";
 
 /** Measures the fleet's control; ends non-zero when a budget is missed, and names it. */
-const sections: BenchSection[] = [measureMembership(), measureControl(), measureEntry()];
+const sections: BenchSection[] = [
+  measureMembership(),
+  measureControl(),
+  measureEntry(),
+  await measureSettings(),
+  await measurePlacement(),
+];
 if (process.argv.includes("--json")) {
   console.log(JSON.stringify(sections, undefined, 2));
 } else {
--- a/packages/local_fleet/src/create_local_fleet.ts
+++ b/packages/local_fleet/src/create_local_fleet.ts
@@ -54,6 +54,8 @@
 
 const API_KEY = "planners-local-key";
 const OPERATOR_TOKEN = "local-operator-token";
+/** Short, so that a graceful shutdown soon closes its listener. */
+const ENTRY_TTL_MS = 500;
 const DATA_CENTRES = ["toledo", "detroit", "cleveland", "buffalo"];
 
 /** Starts a local fleet: settings service, two engines, one plain service and the daemons. */
@@ -116,6 +118,7 @@
 
 function createValues({ engines, service }: LocalStandIns): Record<string, string> {
   const values: Record<string, string> = {
+    "fleet/limits": `entry_ttl_ms = ${ENTRY_TTL_MS}\n`,
     "fleet/services": "[stock]\nnon_repeatable = POST /bookings\n",
     "models/plan-70b": "version = 1\nreplicas = 2\n",
     "upstreams/stock-1":
