--- /dev/null
+++ b/packages/daemon/src/generations/serve_options.ts
@@ -0,0 +1,17 @@
+import type { TeamSettings } from "../settings/mod.ts";
+import type { AnswerWriter } from "./answer_writer.ts";
+import type { GenerationRequest } from "./generation_request.ts";
+import type { ModelTarget } from "./model_target.ts";
+
+/** One request of a caller, from its arrival to its end. */
+export interface ServeOptions {
+  readonly requestId: string;
+  readonly team: TeamSettings;
+  readonly kind: string;
+  readonly request: GenerationRequest;
+  readonly target: ModelTarget;
+  readonly writer: AnswerWriter;
+  /** Identity of the request for the quarantine. */
+  readonly fingerprint: string;
+  readonly deadlineMs: number;
+}
