--- a/packages/daemon/src/orders/interleavings/apply_handover_event.ts
+++ b/packages/daemon/src/orders/interleavings/apply_handover_event.ts
@@ -30,13 +30,12 @@
     const frozen = stopReplica(current);
     return { ...world, replicas: world.replicas.with(replica, frozen) };
   }
-  const { record } = current.process;
   const message: ModelMessage = {
     to: "successor",
     replica,
     successor: Number(effect.successor),
     type: effect.type,
-    ...(effect.type === "stage" && record !== undefined ? { record } : {}),
+    process: current.process,
   };
   return { ...world, network: [...world.network, message] };
 }
--- a/packages/daemon/src/orders/interleavings/model_world.ts
+++ b/packages/daemon/src/orders/interleavings/model_world.ts
@@ -54,7 +54,8 @@
     readonly replica: number;
     readonly successor: number;
     readonly type: "stage" | "commit";
-    readonly record?: OrderRecord;
+    /** Record and epochs at the time of the copy. */
+    readonly process: ModelProcess;
   }
   | {
     readonly to: "leaver";
--- a/packages/daemon/src/orders/interleavings/receive_message.ts
+++ b/packages/daemon/src/orders/interleavings/receive_message.ts
@@ -116,7 +116,8 @@
     ? { type: "stage", transfer, frame: 0 }
     : { type: "commit", transfer, frames: 1 };
   const { state, reply, isFrameNew } = decisions.decideAdoption(successor.adoption, content);
-  const process = isFrameNew ? { ...successor.process, record: message.record } : successor.process;
+  const { record, duty } = message.process;
+  const process = isFrameNew ? { record, duty: { ...duty, isFrozen: false } } : successor.process;
   const successors = replica.successors.with(message.successor, { adoption: state, process });
   const answer: ModelMessage = {
     to: "leaver",
--- a/packages/protocol/src/result_codes/order_result_codes.ts
+++ b/packages/protocol/src/result_codes/order_result_codes.ts
@@ -34,7 +34,7 @@
     number: 3004,
     status: 409,
     ran: "unknown",
-    title: "Order with this key is still running",
+    title: "Another attempt holds this key and has recorded no outcome",
     advice: "Repeat with the same key after the stated delay",
   },
   orderKeyReused: {
