--- a/bench/src/relay/start_relay_fixture.ts
+++ b/bench/src/relay/start_relay_fixture.ts
@@ -1,4 +1,5 @@
 import { createProcessDaemon, resolveDaemonConfig } from "@crocussail/daemon";
+import { formatDaemonSettings, formatHostValue } from "@crocussail/local_fleet";
 import { once } from "node:events";
 import { Worker } from "node:worker_threads";
 import type { HostValue } from "./host_value.ts";
@@ -19,6 +20,8 @@
 }
 
 const API_KEY = "relay-bench-key";
+const DATA_CENTRE = "toledo";
+const OPERATOR_TOKEN = "relay-bench-operator-token";
 const LOG_LEVEL_ERROR = 0;
 /** Time in which the daemon learns of itself, owns the upstreams and reads their load. */
 const OWNERSHIP_MS = 4_000;
@@ -30,12 +33,16 @@
   });
   const load = new Worker(new URL("./load_worker.js", import.meta.url));
   const [{ engineUrl, settingsUrl }] = await once(source, "message");
-  const text = formatSettings(settingsUrl);
+  const text = formatDaemonSettings({
+    host: "host-1",
+    dataCentre: DATA_CENTRE,
+    settingsUrl,
+    operatorToken: OPERATOR_TOKEN,
+  });
   const config = resolveDaemonConfig({ file: "bench.ini", text }).unsafeCoerce();
   const daemon = createProcessDaemon(config, { logLevel: LOG_LEVEL_ERROR });
   const ports = await daemon.start();
-  const value = `address = 127.0.0.1\ncaller_port = ${ports.caller}\n` +
-    `peer_port = ${ports.peer}\ndata_centre = toledo\n`;
+  const value = formatHostValue({ ports, dataCentre: DATA_CENTRE });
   source.postMessage({ path: "hosts/host-1", value } satisfies HostValue);
   await new Promise((resolve) => setTimeout(resolve, OWNERSHIP_MS));
   return {
@@ -55,25 +62,3 @@
     },
   };
 }
-
-function formatSettings(settingsUrl: string): string {
-  return `[host]
-name = host-1
-data_centre = toledo
-
-[listen]
-address = 127.0.0.1
-caller_port = 0
-peer_port = 0
-operator_port = 0
-
-[settings_service]
-urls = ${settingsUrl}
-
-[fleet]
-key = relay-bench-fleet-key-for-one-machine
-
-[operator]
-token = relay-bench-operator-token
-`;
-}
--- a/packages/local_fleet/src/format_daemon_settings.ts
+++ b/packages/local_fleet/src/format_daemon_settings.ts
@@ -4,8 +4,11 @@
   readonly dataCentre: string;
   readonly settingsUrl: string;
   readonly operatorToken: string;
+  readonly fleetKey?: string;
 }
 
+const DEFAULT_FLEET_KEY = "local-fleet-key-for-one-machine-only";
+
 /** Renders the settings file of a daemon that listens on free loopback ports. */
 export function formatDaemonSettings(parts: DaemonSettingsParts): string {
   return `[host]
@@ -22,7 +25,7 @@
 urls = ${parts.settingsUrl}
 
 [fleet]
-key = local-fleet-key-for-one-machine-only
+key = ${parts.fleetKey ?? DEFAULT_FLEET_KEY}
 
 [operator]
 token = ${parts.operatorToken}
--- a/playground/src/start_daemon_process.ts
+++ b/playground/src/start_daemon_process.ts
@@ -1,3 +1,4 @@
+import { formatDaemonSettings, formatHostValue } from "@crocussail/local_fleet";
 import { writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import { request } from "undici";
@@ -36,15 +37,19 @@
   const host = `host-${options.index + 1}`;
   const dataCentre = PLAYGROUND.dataCentres[options.index % PLAYGROUND.dataCentres.length] ?? "";
   const file = join(options.directory, `${host}.ini`);
-  await writeFile(file, formatSettings(host, dataCentre, options.settingsUrl));
+  const { operatorToken, fleetKey } = PLAYGROUND;
+  const { settingsUrl } = options;
+  await writeFile(
+    file,
+    formatDaemonSettings({ host, dataCentre, settingsUrl, operatorToken, fleetKey }),
+  );
   const started = await startProcess({
     args: ["packages/daemon/dist/main.js", "--settings", file],
     readyOn: "stderr",
     parseReady: (line) => startedSchema.safeParse(parseJson(line)).data,
   });
   const ports = startedSchema.parse(started.ready);
-  const value = `address = 127.0.0.1\ncaller_port = ${ports.caller}\n` +
-    `peer_port = ${ports.peer}\ndata_centre = ${dataCentre}\n`;
+  const value = formatHostValue({ ports, dataCentre });
   await request(`${options.controlUrl}/values?path=hosts/${host}`, {
     method: "PUT",
     headers: { "content-type": "text/plain" },
@@ -60,25 +65,3 @@
     return undefined;
   }
 }
-
-function formatSettings(host: string, dataCentre: string, settingsUrl: string): string {
-  return `[host]
-name = ${host}
-data_centre = ${dataCentre}
-
-[listen]
-address = 127.0.0.1
-caller_port = 0
-peer_port = 0
-operator_port = 0
-
-[settings_service]
-urls = ${settingsUrl}
-
-[fleet]
-key = ${PLAYGROUND.fleetKey}
-
-[operator]
-token = ${PLAYGROUND.operatorToken}
-`;
-}
