Explain refusals, candidates with scores and the settings revision

Cause: explain showed nothing of a request refused at the door, no candidates, and no revision. Conclusion: every answer with a request id can be explained while remembered.

--- a/packages/cli/src/explain/render_explanation.ts
+++ b/packages/cli/src/explain/render_explanation.ts
@@ -6,7 +6,8 @@
     const fields = Object.entries(entry.fields)
       .map(([name, value]) => `${name}=${formatField(value)}`)
       .join(" ");
-    return `  ${entry.time} ${entry.slice}: ${entry.decision} ${fields}`.trimEnd();
+    return `  ${entry.time} revision ${entry.revision} ${entry.slice}: ${entry.decision} ${fields}`
+      .trimEnd();
   });
   return [`request ${explanation.request} on ${explanation.host}`, ...lines].join("\n");
 }
--- a/packages/daemon/src/admission/create_grant_client.ts
+++ b/packages/daemon/src/admission/create_grant_client.ts
@@ -17,6 +17,7 @@
 import type { OwnerDirectory } from "./create_owner_directory.ts";
 import { createQueueEntry } from "./create_queue_entry.ts";
 import { createRefusal } from "./create_refusal.ts";
+import { describeRanking } from "./describe_ranking.ts";
 import { rankCandidates } from "./rank_candidates.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
@@ -163,7 +164,12 @@
     options.directory.refreshView();
     const nowMs = clock.readMonotonicMs();
     const candidates = view.listCandidates(waiting.request, waiting.entry.urgency, nowMs);
-    const ranked = rankCandidates(candidates, options.score).map(({ upstream }) => upstream);
+    const best = rankCandidates(candidates, options.score);
+    if (waiting.places.size === 0) {
+      const fields = { candidates: describeRanking(best, options.score) };
+      journal.recordDecision(waiting.entry.id, "admission", "ranked", fields);
+    }
+    const ranked = best.map(({ upstream }) => upstream);
     const chosen = [...new Set([...waiting.places.keys(), ...ranked])]
       .slice(0, ADMISSION_LIMITS.maxPlaces);
     const refusals: (AdmissionReply & { type: "refuse" })[] = [];
--- a/packages/daemon/src/common/journal.ts
+++ b/packages/daemon/src/common/journal.ts
@@ -2,6 +2,8 @@
 export interface JournalEntry {
   /** Wall-clock time in ISO 8601. */
   readonly time: string;
+  /** Settings revision in force at the time. */
+  readonly revision: number;
   /** Slice that decided. */
   readonly slice: string;
   /** What was decided, for example `granted`, `queued`, `refused`, `retried`. */
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -79,7 +79,11 @@
     findAddress: settings.findPeerAddress,
   });
   const incarnation = random.nextHex(INCARNATION_BYTES);
-  const journal = createJournal({ clock, ...JOURNAL_LIMITS });
+  const journal = createJournal({
+    clock,
+    readRevision: settings.view.getRevision,
+    ...JOURNAL_LIMITS,
+  });
   const context: DaemonContext = {
     config,
     clock,
@@ -128,6 +132,7 @@
 
   const callerServer = createCallerServer({
     clock,
+    journal,
     logger,
     metrics,
     readMaxBodyBytes: () => settings.view.getFleetLimits().maxBodyBytes,
--- a/packages/daemon/src/generations/golden_sessions_test.ts
+++ b/packages/daemon/src/generations/golden_sessions_test.ts
@@ -68,6 +68,7 @@
       logger: { writeEvent: () => {} },
       metrics: services.context.metrics,
       clock: services.context.clock,
+      journal: services.context.journal,
       readMaxBodyBytes: () => MAX_BODY_BYTES,
       createRequestId: () => `request-${++requests}`,
     } as Parameters<typeof createCallerServer>[0],
--- a/packages/daemon/src/http/create_caller_server.ts
+++ b/packages/daemon/src/http/create_caller_server.ts
@@ -1,7 +1,8 @@
 import { createResultError } from "@crocussail/protocol";
-import type { Clock, Logger, Metrics } from "@crocussail/protocol";
+import type { Clock, Logger, Metrics, Problem } from "@crocussail/protocol";
 import fastify from "fastify";
 import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import type { Journal } from "../common/journal.ts";
 import { CALLER_LIMITS } from "./constants.ts";
 import { sendProblem } from "./send_problem.ts";
 import type { TlsMaterial } from "./tls_material.ts";
@@ -9,6 +10,8 @@
 /** Options of {@link createCallerServer}. */
 export interface CallerServerOptions {
   readonly clock: Clock;
+  /** Takes the problems answered, for `explain`. */
+  readonly journal: Journal;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Largest body in force, in bytes; never above the hard limit. */
@@ -19,6 +22,7 @@
   readonly tls?: TlsMaterial;
 }
 
+const PROBLEM_TYPE = "application/problem+json";
 const HTTP_OPTIONS = {
   maxHeaderSize: CALLER_LIMITS.maxHeaderBytes,
   connectionsCheckingInterval: CALLER_LIMITS.checkIntervalMs,
@@ -52,6 +56,7 @@
     done(null, payload);
   });
   registerRequestMetrics(server, options);
+  registerProblemRecords(server, options.journal);
   server.setNotFoundHandler((request, reply) =>
     sendProblem(reply, createResultError("notFound", `no resource at ${request.url}`))
   );
@@ -76,6 +81,16 @@
   });
 }
 
+function registerProblemRecords(server: FastifyInstance, journal: Journal): void {
+  server.addHook("onSend", (request, reply, payload, done) => {
+    if (String(reply.getHeader("content-type")).startsWith(PROBLEM_TYPE)) {
+      const { code, detail, ran } = JSON.parse(String(payload)) as Problem;
+      journal.recordDecision(request.id, "http", "problem", { code, detail, ran });
+    }
+    done(null, payload);
+  });
+}
+
 interface Fault {
   readonly error: FastifyError;
   readonly request: FastifyRequest;
--- a/packages/daemon/src/http/create_caller_server_test.ts
+++ b/packages/daemon/src/http/create_caller_server_test.ts
@@ -16,6 +16,11 @@
 function createServer(recorded: Recorded[], options: Partial<CallerServerOptions> = {}) {
   const server = createCallerServer({
     clock: createManualClock(),
+    journal: {
+      recordDecision: (request, _slice, decision, fields) =>
+        recorded.push({ name: `${request} ${decision}`, tags: { code: String(fields?.["code"]) } }),
+      listEntries: () => [],
+    },
     logger: { writeEvent: () => {} },
     metrics: {
       increment: (name, _value, tags = {}) => recorded.push({ name, tags }),
@@ -84,6 +89,9 @@
     const answer = await request(`${url}/nowhere/at/all`);
     await answer.body.dump();
     await server.close();
-    expect(recorded).to.deep.equal([{ name: "requests", tags: { route: "none", status: "404" } }]);
+    expect(recorded).to.deep.equal([
+      { name: "request-1 problem", tags: { code: "1003" } },
+      { name: "requests", tags: { route: "none", status: "404" } },
+    ]);
   });
 });
--- a/packages/daemon/src/state_dump/create_journal.ts
+++ b/packages/daemon/src/state_dump/create_journal.ts
@@ -8,6 +8,8 @@
   readonly maxRequests: number;
   /** Entries kept of one request; later ones are dropped. */
   readonly maxEntries: number;
+  /** Reads the settings revision in force. */
+  readonly readRevision: () => number;
 }
 
 /** Creates an empty journal. */
@@ -33,7 +35,7 @@
       const entries = openRequest(requestId);
       if (entries.length < options.maxEntries) {
         const time = options.clock.readWallTime().toISOString();
-        entries.push({ time, slice, decision, fields });
+        entries.push({ time, revision: options.readRevision(), slice, decision, fields });
       }
     },
     listEntries: (requestId) => requests.get(requestId) ?? [],
--- a/packages/protocol/src/explanation_schema.ts
+++ b/packages/protocol/src/explanation_schema.ts
@@ -7,6 +7,8 @@
   /** Decisions in order. */
   entries: z.array(z.strictObject({
     time: z.string(),
+    /** Settings revision in force at the time. */
+    revision: z.number(),
     slice: z.string(),
     decision: z.string(),
     fields: z.record(z.string(), z.unknown()),
