--- a/packages/daemon/src/adapters/create_http_load_client.ts
+++ b/packages/daemon/src/adapters/create_http_load_client.ts
@@ -1,5 +1,6 @@
 import { createResultError } from "@crocussail/protocol";
 import type { ResultError } from "@crocussail/protocol";
+import { Buffer } from "node:buffer";
 import { Left, Right } from "purify-ts";
 import type { Either } from "purify-ts";
 import { request } from "undici";
@@ -8,6 +9,7 @@
 import { loadRecordSchemas } from "./load_record_schema.ts";
 
 const TIMEOUT_MS = 2_000;
+const MAX_REPORT_BYTES = 2 * 1024 * 1024;
 
 /** Creates a client that reads load reports over HTTP; an answer of the wrong shape is a failure. */
 export function createHttpLoadClient(): LoadClient {
@@ -27,8 +29,26 @@
 ): Promise<Either<ResultError, z.infer<T>>> {
   try {
     const answer = await request(url, { headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS });
-    return Right(schema.parse(await answer.body.json()));
+    const text = await readBounded(answer.body);
+    if (answer.statusCode !== 200) {
+      return Left(createResultError("upstreamLost", `${url}: status ${answer.statusCode}`));
+    }
+    return Right(schema.parse(JSON.parse(text)));
   } catch (error) {
     return Left(createResultError("upstreamLost", `${url}: ${error}`));
   }
 }
+
+/** Reads a body as text; a body over the bound ends the connection and throws. */
+async function readBounded(body: AsyncIterable<Uint8Array>): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    bytes += chunk.length;
+    if (bytes > MAX_REPORT_BYTES) {
+      throw new Error(`report is larger than ${MAX_REPORT_BYTES} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
