Count traffic between daemons by channel, and the bytes of an order

Change: counters by channel in the state, an answer counts only from the peer that was asked, bytes in bench:orders. Conclusion: control bytes of every channel can be read on a live daemon now.

--- a/bench/src/orders/main.ts
+++ b/bench/src/orders/main.ts
@@ -1,6 +1,7 @@
 import type { ServiceClient } from "@crocussail/daemon";
 import { createLocalFleet } from "@crocussail/local_fleet";
 import process from "node:process";
+import { measureBytes } from "./measure_bytes.ts";
 import { measureLatency } from "./measure_latency.ts";
 import { measureMemory } from "./measure_memory.ts";
 import { tallyOrders } from "./tally_orders.ts";
@@ -43,6 +44,7 @@
 const restarts = await runTally(true);
 const fleet = await createLocalFleet({ hosts: 5 });
 const latency = await measureLatency(fleet, { orders: 500, parallel: PARALLEL });
+const bytes = await measureBytes(fleet, 500);
 await fleet.close();
 const memory = measureMemory([5_000, 10_000, 20_000, 40_000]);
 
@@ -56,6 +58,6 @@
   memoryWithinTarget: memory.bytesPerKey * KEYS_AT_TARGET <= MEMORY_TARGET_BYTES,
 };
 const isMet = Object.values(checks).every(Boolean);
-const report = { isMet, checks, crashes, restarts, latency, memory };
+const report = { isMet, checks, crashes, restarts, latency, bytes, memory };
 console.log(process.argv.includes("--json") ? JSON.stringify(report, null, 2) : report);
 process.exit(isMet ? 0 : 1);
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -194,6 +194,7 @@
     journal,
     isReady: () => settings.isReady() && membership.isViewFresh() && !shutdown.isLeaving(),
     sections: {
+      peers: peers.dumpState,
       settings: settings.dumpState,
       membership: membership.dumpState,
       admission: admission.dumpState,
--- a/packages/daemon/src/peers/create_peer_link.ts
+++ b/packages/daemon/src/peers/create_peer_link.ts
@@ -8,6 +8,7 @@
 import { PEER_LIMITS } from "./constants.ts";
 import { decideDialBackoff } from "./decide_dial_backoff.ts";
 import type { DialFailures } from "./dial_backoff.ts";
+import { createPeerTraffic } from "./create_peer_traffic.ts";
 import { decodePeerFrame } from "./decode_peer_frame.ts";
 import { dialPeer } from "./dial_peer.ts";
 import type { PeerAddress } from "./peer_address.ts";
@@ -33,10 +34,12 @@
   startListening(address: string, port: number): Promise<number>;
   /** Closes every link and the listener. */
   close(): Promise<void>;
+  dumpState(): unknown;
 }
 
 interface PendingRequest {
   readonly host: string;
+  readonly channel: string;
   readonly timer: Timer;
   settle(result: Either<ResultError, unknown>): void;
 }
@@ -48,9 +51,13 @@
   const accepted = new Set<WebSocket>();
   const failures = new Map<string, DialFailures>();
   const pending = new Map<number, PendingRequest>();
+  const traffic = createPeerTraffic();
   let server: WebSocketServer | undefined;
   let nextId = 1;
 
+  const sendFrame = (socket: WebSocket, channel: string, frame: PeerFrame) =>
+    traffic.noteSent(channel, sendPeerFrame(socket, frame));
+
   const settleRequest = (id: number, result: Either<ResultError, unknown>) => {
     const request = pending.get(id);
     if (request === undefined) {
@@ -77,14 +84,14 @@
     const handler = handlers.get(frame.channel);
     if (handler === undefined) {
       const detail = `no channel "${frame.channel}"`;
-      sendPeerFrame(socket, { type: "failure", id: frame.id, detail });
+      sendFrame(socket, frame.channel, { type: "failure", id: frame.id, detail });
       return;
     }
     try {
       const body = await handler(from, frame.body);
-      sendPeerFrame(socket, { type: "reply", id: frame.id, body });
+      sendFrame(socket, frame.channel, { type: "reply", id: frame.id, body });
     } catch (error) {
-      sendPeerFrame(socket, {
+      sendFrame(socket, frame.channel, {
         type: "failure",
         id: frame.id,
         detail: String(error).slice(0, PEER_LIMITS.maxReasonCharacters),
@@ -92,6 +99,25 @@
     }
   };
 
+  /** Settles a request by its peer's answer; an answer of any other peer is ignored. */
+  const takeAnswer = (
+    from: string,
+    frame: PeerFrame & { type: "reply" | "failure" },
+    bytes: number,
+  ) => {
+    const request = pending.get(frame.id);
+    if (request?.host !== from) {
+      return;
+    }
+    traffic.noteReceived(request.channel, bytes);
+    settleRequest(
+      frame.id,
+      frame.type === "reply"
+        ? Right(frame.body)
+        : Left(createResultError("peerUnreachable", frame.detail)),
+    );
+  };
+
   const handleFrame = (socket: WebSocket, from: string, data: Uint8Array) => {
     const frame = decodePeerFrame(data);
     if (frame === undefined) {
@@ -100,16 +126,16 @@
     }
     switch (frame.type) {
       case "message":
+        traffic.noteReceived(frame.channel, data.length);
         callHandler(from, frame.channel, frame.body);
         break;
       case "request":
+        traffic.noteReceived(frame.channel, data.length);
         answerRequest(socket, from, frame);
         break;
       case "reply":
-        settleRequest(frame.id, Right(frame.body));
-        break;
       case "failure":
-        settleRequest(frame.id, Left(createResultError("peerUnreachable", frame.detail)));
+        takeAnswer(from, frame, data.length);
         break;
     }
   };
@@ -171,7 +197,7 @@
       settleRequest(frame.id, Right(body));
       return;
     }
-    sendPeerFrame(await getLink(host), frame);
+    sendFrame(await getLink(host), frame.channel, frame);
   };
 
   return {
@@ -181,7 +207,7 @@
         return;
       }
       getLink(host).then(
-        (socket) => sendPeerFrame(socket, { type: "message", channel, body }),
+        (socket) => sendFrame(socket, channel, { type: "message", channel, body }),
         () => {},
       );
     },
@@ -196,7 +222,7 @@
           const detail = `no reply from ${host} within ${timeoutMs} ms`;
           settleRequest(id, Left(createResultError("peerUnreachable", detail)));
         });
-        pending.set(id, { host, timer, settle });
+        pending.set(id, { host, channel, timer, settle });
         sendRequest(host, { type: "request", channel, id, body }).catch((error) => {
           settleRequest(id, Left(createResultError("peerUnreachable", `${host}: ${error}`)));
         });
@@ -231,6 +257,12 @@
           resolve(typeof bound === "object" && bound !== null ? bound.port : port);
         });
       }),
+    dumpState: () => ({
+      dialed: dialed.size,
+      accepted: accepted.size,
+      pending: pending.size,
+      traffic: traffic.dumpState(),
+    }),
     close: async () => {
       for (const opening of dialed.values()) {
         await opening.then((socket) => socket.terminate(), () => {});
--- /dev/null
+++ b/packages/daemon/src/peers/create_peer_traffic_test.ts
@@ -0,0 +1,24 @@
+import { expect } from "chai";
+import { createPeerTraffic } from "./create_peer_traffic.ts";
+
+describe("createPeerTraffic", () => {
+  it("counts frames and bytes by channel, dropped frames not", () => {
+    const traffic = createPeerTraffic();
+    traffic.noteSent("orders", 100);
+    traffic.noteSent("orders", 0);
+    traffic.noteReceived("orders", 40);
+    expect(traffic.dumpState()).to.deep.equal({
+      orders: { sentFrames: 1, sentBytes: 100, receivedFrames: 1, receivedBytes: 40 },
+    });
+  });
+
+  it("counts channels beyond its bound together", () => {
+    const traffic = createPeerTraffic();
+    for (let index = 0; index < 100; index++) {
+      traffic.noteReceived(`channel-${index}`, 1);
+    }
+    const counted = Object.values(traffic.dumpState()).map(({ receivedBytes }) => receivedBytes);
+    expect(counted).to.have.length(33);
+    expect(counted.reduce((sum, bytes) => sum + bytes, 0)).to.equal(100);
+  });
+});
--- a/packages/daemon/src/peers/send_peer_frame.ts
+++ b/packages/daemon/src/peers/send_peer_frame.ts
@@ -3,13 +3,18 @@
 import { encodePeerFrame } from "./encode_peer_frame.ts";
 import type { PeerFrame } from "./peer_frame.ts";
 
-/** Sends a frame; drops it when the link is closed or holds too many unsent bytes. */
-export function sendPeerFrame(socket: WebSocket, frame: PeerFrame): void {
+/**
+ * Sends a frame and returns its bytes. Drops it and returns 0 when the link is closed or holds too
+ * many unsent bytes.
+ */
+export function sendPeerFrame(socket: WebSocket, frame: PeerFrame): number {
   if (socket.readyState !== socket.OPEN) {
-    return;
+    return 0;
   }
   if (socket.bufferedAmount > PEER_LIMITS.maxBufferedBytes) {
-    return;
+    return 0;
   }
-  socket.send(encodePeerFrame(frame));
+  const data = encodePeerFrame(frame);
+  socket.send(data);
+  return data.length;
 }
