--- a/packages/daemon/src/http/create_caller_server.ts
+++ b/packages/daemon/src/http/create_caller_server.ts
@@ -3,6 +3,7 @@
 import fastify from "fastify";
 import type { FastifyError, FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import type { Journal } from "../common/journal.ts";
+import type { CallerLimits } from "./caller_limits.ts";
 import { CALLER_LIMITS } from "./constants.ts";
 import { sendProblem } from "./send_problem.ts";
 import type { TlsMaterial } from "./tls_material.ts";
@@ -18,30 +19,32 @@
   readonly readMaxBodyBytes: () => number;
   /** Returns the id of the next request. */
   readonly createRequestId: () => string;
+  /** Replaces single limits. */
+  readonly limits?: Partial<CallerLimits>;
   /** Certificate and key; without them the server speaks plain HTTP. */
   readonly tls?: TlsMaterial;
 }
 
 const PROBLEM_TYPE = "application/problem+json";
-const HTTP_OPTIONS = {
-  maxHeaderSize: CALLER_LIMITS.maxHeaderBytes,
-  connectionsCheckingInterval: CALLER_LIMITS.checkIntervalMs,
-};
-
 /** Creates the HTTP server for callers; slices register their routes on it. */
 export function createCallerServer(options: CallerServerOptions): FastifyInstance {
+  const limits: CallerLimits = { ...CALLER_LIMITS, ...options.limits };
+  const httpOptions = {
+    maxHeaderSize: limits.maxHeaderBytes,
+    connectionsCheckingInterval: limits.checkIntervalMs,
+  };
   const server = fastify({
-    bodyLimit: CALLER_LIMITS.maxBodyBytes,
-    requestTimeout: CALLER_LIMITS.requestTimeoutMs,
-    keepAliveTimeout: CALLER_LIMITS.keepAliveMs,
+    bodyLimit: limits.maxBodyBytes,
+    requestTimeout: limits.requestTimeoutMs,
+    keepAliveTimeout: limits.keepAliveMs,
     genReqId: options.createRequestId,
     forceCloseConnections: true,
-    http: HTTP_OPTIONS,
-    https: options.tls === undefined ? null : { ...options.tls, ...HTTP_OPTIONS },
+    http: httpOptions,
+    https: options.tls === undefined ? null : { ...options.tls, ...httpOptions },
     // The union of plain and TLS servers has one routing interface.
   } as object) as unknown as FastifyInstance;
-  server.server.maxConnections = CALLER_LIMITS.maxConnections;
-  server.server.headersTimeout = CALLER_LIMITS.headersTimeoutMs;
+  server.server.maxConnections = limits.maxConnections;
+  server.server.headersTimeout = limits.headersTimeoutMs;
   server.addHook("onRequest", (request, reply, done) => {
     reply.header("x-request-id", request.id);
     done();
--- a/packages/daemon/src/http/create_caller_server_test.ts
+++ b/packages/daemon/src/http/create_caller_server_test.ts
@@ -1,5 +1,7 @@
 import { expect } from "chai";
 import { readFileSync } from "node:fs";
+import { connect } from "node:net";
+import type { AddressInfo } from "node:net";
 import { Agent, request } from "undici";
 import { createManualClock } from "../common/create_manual_clock.ts";
 import { createCallerServer } from "./create_caller_server.ts";
@@ -82,6 +84,31 @@
     expect(answer.body).not.to.contain("secret detail");
   });
 
+  const slowSenders: readonly { title: string; bytes: string }[] = [
+    { title: "head", bytes: "POST /echo HTTP/1.1\r\nhost: a\r\n" },
+    {
+      title: "body",
+      bytes: "POST /echo HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\n" +
+        "content-length: 9\r\n\r\n{",
+    },
+  ];
+  for (const { title, bytes } of slowSenders) {
+    it(`ends a connection whose ${title} does not arrive in time`, async () => {
+      const limits = { headersTimeoutMs: 50, requestTimeoutMs: 60, checkIntervalMs: 10 };
+      const server = createServer([], { limits });
+      await server.listen({ host: "127.0.0.1", port: 0 });
+      const { port } = server.server.address() as AddressInfo;
+      const answer = await new Promise<string>((resolve) => {
+        const socket = connect(port, "127.0.0.1", () => socket.write(bytes));
+        let received = "";
+        socket.on("data", (chunk) => received += String(chunk));
+        socket.on("close", () => resolve(received));
+      });
+      expect(answer).to.match(/^HTTP\/1.1 408 /);
+      await server.close();
+    });
+  }
+
   it("counts each answer by route and status", async () => {
     const recorded: Recorded[] = [];
     const server = createServer(recorded);
