--- a/packages/daemon/src/admission/testing/create_admission_fleet.ts
+++ b/packages/daemon/src/admission/testing/create_admission_fleet.ts
@@ -98,7 +98,7 @@
       config: { host: { name: self } },
       clock,
       incarnation: `incarnation-${index}`,
-      journal: { recordDecision: ignore, listEntries: () => [] },
+      journal: { recordDecision: ignore, countRequests: () => 0, listEntries: () => [] },
       logger: { writeEvent: ignore },
       metrics: { increment: ignore, gauge: ignore, distribution: ignore },
       peers: createPeers(self),
--- a/packages/daemon/src/common/journal.ts
+++ b/packages/daemon/src/common/journal.ts
@@ -20,6 +20,8 @@
     decision: string,
     fields?: Readonly<Record<string, unknown>>,
   ): void;
+  /** Requests remembered. */
+  countRequests(): number;
   /** Entries of one request in order; empty when unknown or dropped. */
   listEntries(requestId: string): readonly JournalEntry[];
 }
--- a/packages/daemon/src/create_daemon.ts
+++ b/packages/daemon/src/create_daemon.ts
@@ -197,11 +197,13 @@
       peers: peers.dumpState,
       settings: settings.dumpState,
       membership: membership.dumpState,
+      entry: entry.dumpState,
       admission: admission.dumpState,
       generations: generations.dumpState,
       orders: orders.dumpState,
       shutdown: shutdown.dumpState,
       placement: placement.dumpState,
+      journal: () => ({ requests: journal.countRequests() }),
     },
   });
 
--- a/packages/daemon/src/entry/constants.ts
+++ b/packages/daemon/src/entry/constants.ts
@@ -22,4 +22,6 @@
   loadNoticeTtlMs: 60_000,
   /** Load reports remembered; the oldest is dropped at the bound. */
   maxLoadReports: 4_096,
+  /** Hosts shown in the state. */
+  maxDumpedHosts: 32,
 } as const;
--- a/packages/daemon/src/entry/create_entry.ts
+++ b/packages/daemon/src/entry/create_entry.ts
@@ -28,6 +28,7 @@
   registerRoutes(server: FastifyInstance): void;
   start(): void;
   stop(): void;
+  dumpState(): unknown;
 }
 
 const RETRY_AFTER_MS = 1_000;
@@ -105,6 +106,12 @@
   };
 
   return {
+    dumpState: () => ({
+      isViewFresh: membership.isViewFresh(),
+      named: listAddresses(config.host.dataCentre, "")
+        .slice(0, ENTRY_LIMITS.maxDumpedHosts)
+        .map(({ host, weight }) => ({ host, weight })),
+    }),
     registerRoutes: (server) => {
       server.get("/v1/entry", answerEntry);
     },
--- a/packages/daemon/src/generations/testing/create_test_services.ts
+++ b/packages/daemon/src/generations/testing/create_test_services.ts
@@ -51,7 +51,7 @@
       registerHandler: ignore,
       requestReply: () => Promise.resolve(Right({})),
     },
-    journal: { recordDecision: ignore, listEntries: () => [] },
+    journal: { recordDecision: ignore, countRequests: () => 0, listEntries: () => [] },
   } as unknown as DaemonContext;
   const canceller = createCanceller({ ...context, engine, limits: GENERATION_DEFAULTS });
   const runs = createRunTable({
--- a/packages/daemon/src/http/create_caller_server_test.ts
+++ b/packages/daemon/src/http/create_caller_server_test.ts
@@ -21,6 +21,7 @@
     journal: {
       recordDecision: (request, _slice, decision, fields) =>
         recorded.push({ name: `${request} ${decision}`, tags: { code: String(fields?.["code"]) } }),
+      countRequests: () => 0,
       listEntries: () => [],
     },
     logger: { writeEvent: () => {} },
--- a/packages/daemon/src/state_dump/create_journal.ts
+++ b/packages/daemon/src/state_dump/create_journal.ts
@@ -38,6 +38,7 @@
         entries.push({ time, revision: options.readRevision(), slice, decision, fields });
       }
     },
+    countRequests: () => requests.size,
     listEntries: (requestId) => requests.get(requestId) ?? [],
   };
 }
--- a/packages/local_fleet/src/hostile_callers_test.ts
+++ b/packages/local_fleet/src/hostile_callers_test.ts
@@ -1,3 +1,4 @@
+import { stateDumpSchema } from "@crocussail/protocol";
 import { expect } from "chai";
 import fc from "fast-check";
 import { connect } from "node:net";
@@ -176,4 +177,24 @@
     expect(text).not.to.contain("local-fleet-key");
     expect(text).not.to.match(/[0-9a-f]{64}/);
   });
+
+  it("shows every slice in its state", async () => {
+    const operator = `http://127.0.0.1:${fleet.daemons[0]?.ports.operator}`;
+    const answer = await request(`${operator}/state`, {
+      headers: { authorization: `Bearer ${fleet.operatorToken}` },
+    });
+    const { slices } = stateDumpSchema.parse(await answer.body.json());
+    expect(Object.keys(slices)).to.have.members([
+      "peers",
+      "settings",
+      "membership",
+      "entry",
+      "admission",
+      "generations",
+      "orders",
+      "shutdown",
+      "placement",
+      "journal",
+    ]);
+  });
 });
