--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import { Builtins, Cli } from "clipanion";
 import process from "node:process";
 import { CheckCommand } from "./check/check_command.ts";
@@ -8,7 +7,11 @@
 import { LoadCommand } from "./load/load_command.ts";
 import { StateCommand } from "./state/state_command.ts";
 
-const cli = new Cli({ binaryLabel: "crocussail", binaryName: "crocussail" });
+const cli = new Cli({
+  binaryLabel: "crocussail",
+  binaryName: "crocussail",
+  enableColors: process.stdout.isTTY === true,
+});
 for (
   const command of [
     Builtins.HelpCommand,
--- /dev/null
+++ b/packages/daemon/bin/crocussaild.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,5 +1,8 @@
-#!/usr/bin/env node
 import { runExit } from "clipanion";
+import process from "node:process";
 import { DaemonCommand } from "./daemon_command.ts";
 
-runExit({ binaryLabel: "crocussaild", binaryName: "crocussaild" }, DaemonCommand);
+const label = "crocussaild";
+const enableColors = process.stdout.isTTY === true;
+
+runExit({ binaryLabel: label, binaryName: label, enableColors }, DaemonCommand);
