Draw the policy bench's traffic from the project's seeded random source

Cause: the bench built its own generator, the twin of the daemon package's createSeededRandom. Change: the distributions stand on the shared source.

--- a/bench/src/policy/create_seeded_random.ts
+++ b/bench/src/policy/create_traffic_random.ts
@@ -1,7 +1,7 @@
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { createSeededRandom } from "@crocussail/daemon";
 
 /** Seeded random numbers for the traffic. */
-export interface SeededRandom {
+export interface TrafficRandom {
   /** Returns a float in `[0, 1)`. */
   nextFloat(): number;
   /** Returns an exponential delay with the given mean. */
@@ -10,12 +10,9 @@
   nextLogNormal(median: number, sigma: number): number;
 }
 
-const RANGE = 2 ** 32;
-
-/** Creates a seeded random source. */
-export function createSeededRandom(seed: number): SeededRandom {
-  const generator = xoroshiro128plus(seed);
-  const nextFloat = () => (generator.next() >>> 0) / RANGE;
+/** Creates the traffic's distributions on the project's seeded random source. */
+export function createTrafficRandom(seed: number): TrafficRandom {
+  const { nextFloat } = createSeededRandom(seed);
   const nextNormal = () =>
     Math.sqrt(-2 * Math.log(1 - nextFloat())) * Math.cos(2 * Math.PI * nextFloat());
   return {
--- a/bench/src/policy/estimate_capacity.ts
+++ b/bench/src/policy/estimate_capacity.ts
@@ -1,4 +1,4 @@
-import { createSeededRandom } from "./create_seeded_random.ts";
+import { createTrafficRandom } from "./create_traffic_random.ts";
 import { ENGINE_SHAPE } from "./engine_shape.ts";
 import { sampleRequest } from "./sample_request.ts";
 import type { EngineGroup, Scenario } from "./scenario.ts";
@@ -14,7 +14,7 @@
  * depends on the traffic and on the engines only, not on a policy.
  */
 export function estimateCapacity(scenario: Scenario, group: number): number {
-  const random = createSeededRandom(SEED);
+  const random = createTrafficRandom(SEED);
   let outputSum = 0;
   let promptSum = 0;
   let computedSum = 0;
--- a/bench/src/policy/sample_request.ts
+++ b/bench/src/policy/sample_request.ts
@@ -1,4 +1,4 @@
-import type { SeededRandom } from "./create_seeded_random.ts";
+import type { TrafficRandom } from "./create_traffic_random.ts";
 import type { EngineGroup, KindSpec, Scenario } from "./scenario.ts";
 import type { TrafficRequest } from "./traffic_request.ts";
 
@@ -14,7 +14,7 @@
 
 /** Draws one request of a group, without a time of arrival. */
 export function sampleRequest(
-  options: { scenario: Scenario; group: number; declaredShare: number; random: SeededRandom },
+  options: { scenario: Scenario; group: number; declaredShare: number; random: TrafficRandom },
 ): Omit<TrafficRequest, "id" | "atMs"> {
   const { scenario, random } = options;
   const group = scenario.groups[options.group] as EngineGroup;
@@ -44,7 +44,7 @@
   };
 }
 
-function pickIndex(shares: readonly number[], random: SeededRandom): number {
+function pickIndex(shares: readonly number[], random: TrafficRandom): number {
   const total = shares.reduce((sum, share) => sum + share, 0);
   let left = random.nextFloat() * total;
   for (const [index, share] of shares.entries()) {
--- a/bench/src/policy/sample_traffic.ts
+++ b/bench/src/policy/sample_traffic.ts
@@ -1,4 +1,4 @@
-import { createSeededRandom } from "./create_seeded_random.ts";
+import { createTrafficRandom } from "./create_traffic_random.ts";
 import { estimateCapacity } from "./estimate_capacity.ts";
 import { sampleRequest } from "./sample_request.ts";
 import type { Scenario } from "./scenario.ts";
@@ -23,7 +23,7 @@
   const requests: TrafficRequest[] = [];
   const meanBurst = 1 + BURST_SHARE * (BURST_SIZE - 1);
   for (const group of options.scenario.groups.keys()) {
-    const random = createSeededRandom(options.seed * 100 + group);
+    const random = createTrafficRandom(options.seed * 100 + group);
     const perSecond = estimateCapacity(options.scenario, group) * options.loadPercent / 100;
     const meanGapMs = 1_000 * meanBurst / perSecond;
     for (let atMs = 0; atMs < options.durationMs; atMs += random.nextExponential(meanGapMs)) {
