Hold back on all hosts a request that has crashed more than one upstream

The quarantine becomes a slice of its own, used by both; hosts pass its notices in their reports (fleet_hosts/create_host_notices.ts).

What counts as a crash: the connection ended before the first byte (or the first event) at an upstream that is not leaving. A good run clears.

Found by the new path test: a good run right after a crash did not clear, because the crash had not gone round yet; the next lost answer of the same read then held it back. Mended, with a test that failed first.

--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -18,4 +18,12 @@
   reportedPeers: 8,
   /** How long a leaving upstream is reported: several lost reports. */
   leavingReportMs: 3_000,
+  /** How long a notice is reported: several lost reports. */
+  noticeReportMs: 3_000,
+  /** Notices that a report carries; with them it stays within two packets of 1,500 bytes. */
+  noticesPerReport: 2,
+  /** Own notices that are kept for hosts that join; the oldest are dropped. */
+  maxOwnNotices: 64,
+  /** Other hosts' notices that are remembered, so that each is delivered once. */
+  maxKnownNotices: 1_024,
 } as const;
--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -2,6 +2,8 @@
 import type { DatagramSocket, OpenDatagramSocket } from "../adapters/datagram_socket.ts";
 import { applyHostReport } from "./apply_host_report.ts";
 import { HOST_LIMITS } from "./constants.ts";
+import { createHostNotices } from "./create_host_notices.ts";
+import type { HostNotices } from "./create_host_notices.ts";
 import { decodeHostReport } from "./decode_host_report.ts";
 import { encodeHostReport } from "./encode_host_report.ts";
 import { expireHosts } from "./expire_hosts.ts";
@@ -15,17 +17,18 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly openSocket: OpenDatagramSocket;
+  readonly host: string;
   readonly peerAddress: string;
   readonly fleetKey: string;
   readonly seeds: readonly string[];
   /** Builds this host's report, but for the fields that this slice keeps. */
-  readonly buildReport: () => Omit<HostReport, "sequence" | "peers">;
+  readonly buildReport: () => Omit<HostReport, "sequence" | "peers" | "notices">;
   /** Receives each new report of another host. */
   readonly applyReport: (report: HostReport) => void;
 }
 
 /** The other hosts of the fleet. */
-export interface FleetHosts {
+export interface FleetHosts extends Pick<HostNotices, "publishNotice" | "subscribeNotices"> {
   start(): Promise<void>;
   stop(): void;
   /** Reports soon, because something changed. */
@@ -47,6 +50,13 @@
   let newsTimer: Timer | undefined;
   let sequence = 0;
   let rounds = 0;
+  const noteNews = () => {
+    newsTimer ??= clock.startTimer(HOST_LIMITS.newsDelayMs, () => {
+      newsTimer = undefined;
+      sendReport(false);
+    });
+  };
+  const notices = createHostNotices({ clock, host: options.host, noteNews });
 
   const receive = (datagram: Uint8Array) => {
     const report = decodeHostReport(datagram, options.fleetKey);
@@ -56,6 +66,7 @@
     }
     const isOwn = report.peerAddress === options.peerAddress;
     if (!isOwn && applyHostReport(state, report, clock.readMonotonicMs())) {
+      notices.acceptNotices(report);
       options.applyReport(report);
     }
   };
@@ -70,7 +81,12 @@
     );
     const start = heard.size === 0 ? 0 : sequence % heard.size;
     const peers = [...heard, ...heard].slice(start, start + HOST_LIMITS.reportedPeers);
-    const report = { ...options.buildReport(), sequence, peers: [...new Set(peers)] };
+    const report = {
+      ...options.buildReport(),
+      sequence,
+      notices: notices.listReported(),
+      peers: [...new Set(peers)],
+    };
     const datagram = encodeHostReport(report, options.fleetKey);
     const isForSilent = isRound && rounds % HOST_LIMITS.silentAddressEvery === 0;
     for (const address of new Set([...heard, ...seeds, ...state.addresses.keys()])) {
@@ -84,8 +100,11 @@
     const now = new Set(
       listLiveHosts(state, clock.readMonotonicMs()).map(({ host }) => host),
     );
-    [...now].filter((host) => !live.has(host))
-      .forEach((peer) => logger.writeEvent("hostJoined", { peer, live: now.size }));
+    const joined = [...now].filter((host) => !live.has(host));
+    joined.forEach((peer) => logger.writeEvent("hostJoined", { peer, live: now.size }));
+    if (joined.length > 0) {
+      notices.renewNotices();
+    }
     [...live].filter((host) => !now.has(host))
       .forEach((peer) => logger.writeEvent("hostLost", { peer, live: now.size }));
     live = now;
@@ -111,12 +130,9 @@
       socket?.close();
       socket = undefined;
     },
-    noteNews: () => {
-      newsTimer ??= clock.startTimer(HOST_LIMITS.newsDelayMs, () => {
-        newsTimer = undefined;
-        sendReport(false);
-      });
-    },
+    noteNews,
+    publishNotice: notices.publishNotice,
+    subscribeNotices: notices.subscribeNotices,
     setSeeds: (next) => {
       seeds = new Set(next);
     },
--- a/packages/daemon/src/fleet_hosts/host_report_fields.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_fields.ts
@@ -15,5 +15,6 @@
   "loads",
   "conduct",
   "leaving",
+  "notices",
   "peers",
 ] as const satisfies readonly (keyof HostReport)[];
--- a/packages/daemon/src/fleet_hosts/host_report_schema.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_schema.ts
@@ -30,6 +30,13 @@
   conduct: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])).max(512),
   /** Upstreams that leave: id, start, and whether this host only misses the record. */
   leaving: z.array(z.tuple([z.string(), z.number(), z.boolean()])).max(128),
+  /** News for all hosts: topic, key, time for which it holds in milliseconds, unchecked content. */
+  notices: z.array(z.tuple([
+    z.string().max(64),
+    z.string().max(64),
+    z.number().positive().max(3_600_000),
+    z.unknown(),
+  ])).max(8),
   /** Some other hosts' peer addresses, for those that know few. */
   peers: z.array(addressSchema).max(16),
 });
--- a/packages/daemon/src/fleet_hosts/host_state_test.ts
+++ b/packages/daemon/src/fleet_hosts/host_state_test.ts
@@ -26,6 +26,7 @@
   loads: [["u1", 2, 7_000, 3_000]],
   conduct: [["u1", 5.5, 8.25, 0.1]],
   leaving: [["u2", 12, false]],
+  notices: [["t", "k", 500, { type: "seen" }]],
   peers: ["10.0.0.2:7200"],
   ...change,
 });
--- a/packages/daemon/src/forwarding/collect_answer.ts
+++ b/packages/daemon/src/forwarding/collect_answer.ts
@@ -8,6 +8,8 @@
 export interface CollectedAnswer {
   readonly outcome: AttemptOutcome;
   readonly reason: string;
+  /** The connection ended before the first byte of an answer. */
+  readonly isLost: boolean;
   readonly status: number;
   readonly statusText: string;
   readonly rawHeaders: readonly string[];
@@ -32,10 +34,11 @@
     let size = 0;
     let answer = { status: 0, statusText: "", rawHeaders: [] as readonly string[] };
     let head: AnswerHead | undefined;
+    let isLost = false;
     const settle = (outcome: AttemptOutcome, reason: string) => {
       timer.cancel();
       const body = chunks.length === 1 ? chunks[0] as Uint8Array : Buffer.concat(chunks);
-      resolve({ outcome, reason, ...answer, body });
+      resolve({ outcome, reason, isLost, ...answer, body });
     };
     const giveUp = (reason: string) => {
       exchange.abort();
@@ -58,7 +61,10 @@
         }
       },
       end: () => settle(...decideOutcome(answer.status, head, requestId)),
-      fail: (isSent, reason) => settle(isSent ? "broken" : "notSent", reason),
+      fail: (isSent, reason) => {
+        isLost = isSent && answer.status === 0;
+        settle(isSent ? "broken" : "notSent", reason);
+      },
     });
     options.noteExchange(exchange);
   });
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Timer } from "@crocussail/protocol";
 import { estimateRestTokens } from "../balancing/mod.ts";
+import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { chooseService, findRoute } from "../routes/mod.ts";
 import type { Route, RouteSettings, RouteTeam } from "../routes/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
@@ -9,6 +10,7 @@
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createCallerReply } from "./create_caller_reply.ts";
 import { createWaitingLine } from "./create_waiting_line.ts";
+import { digestForwardedRequest } from "./digest_forwarded_request.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
@@ -163,7 +165,12 @@
     const detail = REFUSAL_DETAILS[code];
     const isPromise = code === "settingsUnknown" || code === "noUpstreamLeft" ||
       code === "noRoomInTime";
-    reply.refuse(code, detail, isPromise ? computeRetryAfter(context.random) : undefined);
+    const retryAfterMs = code === "requestHeldBack"
+      ? QUARANTINE_DEFAULTS.quarantineMs
+      : isPromise
+      ? computeRetryAfter(context.random)
+      : undefined;
+    reply.refuse(code, detail, retryAfterMs);
   };
 
   const handleRequest = async (incoming: IncomingMessage, response: ServerResponse) => {
@@ -212,17 +219,26 @@
       refuse(reply, "noUpstreamLeft");
       return;
     }
+    const identity = {
+      method: incoming.method ?? "GET",
+      target,
+      body: body.bytes,
+      team: team?.name,
+    };
+    const fingerprint = digestForwardedRequest(identity);
+    if (context.quarantine.isQuarantined(fingerprint)) {
+      refuse(reply, "requestHeldBack");
+      return;
+    }
     const waitMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const request: ForwardedRequest = {
+      ...identity,
       requestId,
-      method: incoming.method ?? "GET",
-      target,
       rawHeaders: incoming.rawHeaders,
-      body: body.bytes,
       head,
+      fingerprint,
       route,
       service,
-      team: team?.name,
       priority: team?.priority ?? route.priority,
       arrivedMs,
       limitMs: arrivedMs + waitMs,
@@ -260,6 +276,7 @@
   bodyTooLarge: "the body is larger than the published limit",
   settingsUnknown: "no published settings have been read yet",
   noUpstreamLeft: "no service of the route takes requests",
+  requestHeldBack: "the request has crashed more than one upstream",
   noRoomInTime: "this host holds too many bodies",
 } as const;
 
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -11,6 +11,8 @@
   readonly rawHeaders: readonly string[];
   readonly body: Uint8Array | undefined;
   readonly head: CallerRequestHead;
+  /** Digest of what makes it the same when it comes again. */
+  readonly fingerprint: string;
   readonly route: Route;
   readonly service: ServiceSettings;
   readonly team: string | undefined;
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -3,6 +3,7 @@
 import type { EngineMemory } from "../adapters/engine_memory.ts";
 import type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
 import type { LoadState } from "../balancing/mod.ts";
+import type { Quarantine } from "../quarantine/mod.ts";
 import type { RetryBudgetLimits, RetryBudgetState } from "../retries/mod.ts";
 import type { UpstreamState } from "../upstreams/mod.ts";
 
@@ -17,6 +18,7 @@
   readonly memory: EngineMemory;
   readonly upstreams: UpstreamState;
   readonly loads: LoadState;
+  readonly quarantine: Pick<Quarantine, "isQuarantined" | "noteDeath" | "noteEnd">;
   readonly budgetLimits: RetryBudgetLimits;
   /** Budgets by service. */
   readonly budgets: Map<string, RetryBudgetState>;
--- a/packages/daemon/src/forwarding/open_generation_exchange.ts
+++ b/packages/daemon/src/forwarding/open_generation_exchange.ts
@@ -11,6 +11,8 @@
 export interface GenerationRefusal {
   readonly outcome: Exclude<AttemptOutcome, "answered">;
   readonly reason: string;
+  /** The connection ended before the first byte of an answer. */
+  readonly isLost: boolean;
   readonly status: number;
   readonly statusText: string;
   readonly rawHeaders: readonly string[];
@@ -49,8 +51,8 @@
   let hasBegun = false;
   const chunks: Uint8Array[] = [];
   let size = 0;
-  const refuse = (outcome: GenerationRefusal["outcome"], reason: string) =>
-    handler.refuse({ outcome, reason, ...answer, body: Buffer.concat(chunks) });
+  const refuse = (outcome: GenerationRefusal["outcome"], reason: string, isLost = false) =>
+    handler.refuse({ outcome, reason, isLost, ...answer, body: Buffer.concat(chunks) });
   const exchange = context.openExchange({
     address: upstream.record.address,
     method: request.method,
@@ -97,7 +99,7 @@
       if (hasBegun) {
         handler.fail(reason);
       } else {
-        refuse(isSent ? "broken" : "notSent", reason);
+        refuse(isSent ? "broken" : "notSent", reason, isSent && answer.status === 0);
       }
     },
   });
--- a/packages/daemon/src/forwarding/relay_events.ts
+++ b/packages/daemon/src/forwarding/relay_events.ts
@@ -4,6 +4,7 @@
 import type { GenerationRun, GenerationStream } from "./generation_run.ts";
 import type { GenerationHandler, GenerationRefusal } from "./open_generation_exchange.ts";
 import { restoreGeneration } from "./restore_generation.ts";
+import { noteLoss } from "./note_loss.ts";
 import { sendEvent } from "./send_event.ts";
 import { splitEvents } from "./split_events.ts";
 
@@ -65,11 +66,15 @@
         reply.sendPart(rest);
       }
       reply.endParts();
+      context.quarantine.noteEnd(run.request.fingerprint, true);
       run.finish("answered");
     },
     fail: (reason) => {
       stream.closed = "fail";
       stream.noteClosed?.();
+      if (!stream.hasEvent && run.upstream !== undefined && !stream.isDetached) {
+        noteLoss(context, run.request, run.upstream);
+      }
       if (run.phase === "running" && !stream.isDetached) {
         restoreGeneration(context, run, reason);
       }
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -14,7 +14,7 @@
   reason: string,
 ): void {
   const copy = findCopy(context, run);
-  if (copy === undefined) {
+  if (copy === undefined || context.quarantine.isQuarantined(run.request.fingerprint)) {
     endBroken(context, run, reason);
     return;
   }
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -5,6 +5,7 @@
 import { createGenerationStream } from "./create_generation_stream.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
+import { noteLoss } from "./note_loss.ts";
 import { noteReachability } from "./note_reachability.ts";
 import { openGenerationExchange } from "./open_generation_exchange.ts";
 import { relayEvents } from "./relay_events.ts";
@@ -66,6 +67,9 @@
   const relay = relayEvents(context, run, stream, (refusal) => {
     timer.cancel();
     noteReachability(context, upstream.record.id, refusal.outcome);
+    if (refusal.isLost) {
+      noteLoss(context, request, upstream);
+    }
     options.refuse(refusal.reason);
   });
   const startMs = context.clock.readMonotonicMs();
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -12,6 +12,7 @@
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
+import { noteLoss } from "./note_loss.ts";
 import { noteReachability } from "./note_reachability.ts";
 import { openGenerationExchange } from "./open_generation_exchange.ts";
 import type { GenerationRefusal } from "./open_generation_exchange.ts";
@@ -69,6 +70,9 @@
       return;
     }
     noteReachability(context, upstream.record.id, refusal.outcome);
+    if (refusal.isLost) {
+      noteLoss(context, request, upstream);
+    }
     observeConduct(context.loads, { upstreamId: upstream.record.id, hasFailed: true });
     context.loads.flights.delete(request.requestId);
     context.noteLoadChange();
@@ -82,6 +86,7 @@
       unrunAttempts,
       maxAttempts: request.route.maxAttempts,
       hasBudget: budget.hasRoom(),
+      isQuarantined: context.quarantine.isQuarantined(request.fingerprint),
       leftMs: request.limitMs - context.clock.readMonotonicMs(),
     });
     if (decision === "retry") {
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -8,6 +8,7 @@
 import { checkBudget } from "./check_budget.ts";
 import { collectAnswer } from "./collect_answer.ts";
 import type { CollectedAnswer } from "./collect_answer.ts";
+import { noteLoss } from "./note_loss.ts";
 import { noteReachability } from "./note_reachability.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
@@ -50,6 +51,11 @@
         exchange = opened;
       },
     });
+    if (answer.isLost) {
+      await noteLoss(context, request, upstream);
+    } else if (answer.outcome === "answered") {
+      context.quarantine.noteEnd(request.fingerprint, true);
+    }
     const hasNotRun = answer.outcome === "notSent" || answer.outcome === "refused";
     hasNotRun ? unrunAttempts++ : ranAttempts++;
     const leftMs = request.limitMs - clock.readMonotonicMs();
@@ -60,6 +66,7 @@
       unrunAttempts,
       maxAttempts: route.maxAttempts,
       hasBudget: budget.hasRoom(),
+      isQuarantined: context.quarantine.isQuarantined(request.fingerprint),
       leftMs,
     });
     if (reply.isOver()) {
--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -16,6 +16,13 @@
   connectionCheckMs: 500,
   /** Upstreams whose observed rates a report carries; it stays below one packet of 1,500 bytes. */
   reportedConduct: 12,
+  /** Limits of the quarantine that replace its defaults. */
+  quarantine: {
+    /** Hosts hear of each other's crashes within 10 ms, and a repeat must not wait for long. */
+    settleMs: 100,
+    /** A notice fits into a report. */
+    maxSuspects: 12,
+  },
   /** Interval of housekeeping. */
   tickMs: 100,
   /** A gap between two ticks from which the process counts as paused. */
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -6,6 +6,7 @@
 import { chooseAddresses, createFleetHosts, HOST_LIMITS } from "../fleet_hosts/mod.ts";
 import type { HostReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
+import { createQuarantine } from "../quarantine/mod.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
 import type { GatewayOptions } from "./gateway_options.ts";
@@ -44,7 +45,7 @@
     },
   });
   const isReady = () => published !== undefined && !isLeaving;
-  const describeHost = (): Omit<HostReport, "sequence" | "peers"> => ({
+  const describeHost = (): Omit<HostReport, "sequence" | "peers" | "notices"> => ({
     host: config.host.name,
     incarnation,
     dataCentre: config.host.dataCentre,
@@ -72,6 +73,7 @@
     logger,
     metrics,
     openSocket: options.openSocket,
+    host: config.host.name,
     peerAddress,
     fleetKey: config.fleet.key,
     seeds: listSeedAddresses(config.peers.seeds, config.listen.peerPort),
@@ -104,6 +106,11 @@
       }
     },
   });
+  const quarantine = createQuarantine({
+    context: { clock, logger, random },
+    membership: hosts,
+    limits: GATEWAY_LIMITS.quarantine,
+  });
   const forwarder = createForwarder({
     context: {
       clock,
@@ -115,6 +122,7 @@
       memory: options.memory,
       upstreams: upstreams.state,
       loads,
+      quarantine,
       budgetLimits: {
         ratio: config.retries.ratio,
         slack: config.retries.slack,
@@ -154,7 +162,7 @@
       response.writeHead(404).end();
       return;
     }
-    const own = { ...describeHost(), sequence: 0, peers: [] };
+    const own = describeHost();
     const addresses = chooseAddresses([own, ...hosts.listLive()], random);
     if (addresses.length === 0) {
       response.writeHead(503).end();
--- a/packages/daemon/src/generations/create_generations.ts
+++ b/packages/daemon/src/generations/create_generations.ts
@@ -8,7 +8,7 @@
 import { createGenerationHandler } from "./create_generation_handler.ts";
 import { createHandover } from "./create_handover.ts";
 import { createModelsHandler } from "./create_models_handler.ts";
-import { createQuarantine } from "./create_quarantine.ts";
+import { createQuarantine } from "../quarantine/mod.ts";
 import { createResumeHandler } from "./create_resume_handler.ts";
 import { createRunTable } from "./create_run_table.ts";
 import { createStreamSlots } from "./create_stream_slots.ts";
--- a/packages/daemon/src/generations/generation_services.ts
+++ b/packages/daemon/src/generations/generation_services.ts
@@ -4,7 +4,7 @@
 import type { SettingsView } from "../settings/mod.ts";
 import type { Canceller } from "./create_canceller.ts";
 import type { Handover } from "./create_handover.ts";
-import type { Quarantine } from "./create_quarantine.ts";
+import type { Quarantine } from "../quarantine/mod.ts";
 import type { RunTable } from "./create_run_table.ts";
 import type { StreamSlots } from "./create_stream_slots.ts";
 import type { GenerationLimits } from "./generation_defaults.ts";
--- a/packages/daemon/src/generations/testing/create_test_services.ts
+++ b/packages/daemon/src/generations/testing/create_test_services.ts
@@ -8,7 +8,7 @@
 import type { Notice } from "../../membership/mod.ts";
 import type { SettingsView } from "../../settings/mod.ts";
 import { createCanceller } from "../create_canceller.ts";
-import { createQuarantine } from "../create_quarantine.ts";
+import { createQuarantine } from "../../quarantine/mod.ts";
 import { createRunTable } from "../create_run_table.ts";
 import { createStreamSlots } from "../create_stream_slots.ts";
 import { GENERATION_DEFAULTS } from "../generation_defaults.ts";
--- a/packages/daemon/src/generations/create_quarantine.ts
+++ b/packages/daemon/src/quarantine/create_quarantine.ts
@@ -9,7 +9,6 @@
 import type { QuarantineNotice } from "./quarantine_notice_schema.ts";
 import { recordCrash } from "./quarantine_state.ts";
 import type { CrashSuspect, QuarantineState } from "./quarantine_state.ts";
-import type { RelayEnd } from "./relay_generation.ts";
 
 /** Options of {@link createQuarantine}; the limits replace defaults. */
 export interface QuarantineOptions {
@@ -27,14 +26,14 @@
    * runs again.
    */
   noteDeath(upstream: string, suspect: CrashSuspect): Promise<void>;
-  /** Reports how a request ended whose upstream lived. */
-  noteEnd(fingerprint: string, end: RelayEnd["type"]): void;
+  /** Reports how a request ended whose upstream lived: with its whole answer or not. */
+  noteEnd(fingerprint: string, isWhole: boolean): void;
   dumpState(): unknown;
 }
 
 /** Reports of one crash of this daemon; bounded by its streams. */
 interface CollectedCrash {
-  readonly suspects: CrashSuspect[];
+  suspects: CrashSuspect[];
   /** Functions that let waiting requests go on. */
   readonly waiting: (() => void)[];
 }
@@ -97,6 +96,12 @@
       addQuarantined(state, notice.fingerprint, nowMs + lifetimeMs, limits);
     } else {
       clearSuspect(state, notice.fingerprint);
+      // A good run right after a crash clears before the crash has gone round.
+      for (const crash of collected.values()) {
+        crash.suspects = crash.suspects.filter(({ fingerprint }) =>
+          fingerprint !== notice.fingerprint
+        );
+      }
       judgeSuspects();
     }
   });
@@ -114,9 +119,12 @@
         ? new Promise((resolve) => crash.waiting.push(resolve))
         : Promise.resolve();
     },
-    noteEnd: (fingerprint, end) => {
-      const isSuspect = state.crashes.some((crash) => crash.suspects.has(fingerprint));
-      if (end === "finished" && isSuspect) {
+    noteEnd: (fingerprint, isWhole) => {
+      const isSuspect = state.crashes.some((crash) => crash.suspects.has(fingerprint)) ||
+        [...collected.values()].some(({ suspects }) =>
+          suspects.some((suspect) => suspect.fingerprint === fingerprint)
+        );
+      if (isWhole && isSuspect) {
         const key = `cleared:${random.nextHex(NOTICE_KEY_BYTES)}`;
         publish({ type: "cleared", fingerprint }, key, limits.crashWindowMs);
       }
--- a/packages/daemon/src/generations/create_quarantine_test.ts
+++ b/packages/daemon/src/quarantine/create_quarantine_test.ts
@@ -3,18 +3,11 @@
 import { createSeededRandom } from "../common/create_seeded_random.ts";
 import type { Notice } from "../membership/mod.ts";
 import { createQuarantine } from "./create_quarantine.ts";
-import { digestRequest } from "./digest_request.ts";
 import { QUARANTINE_DEFAULTS } from "./quarantine_defaults.ts";
 
-const REQUEST = {
-  api: "chat",
-  model: "plan-70b",
-  prompt: "Plan",
-  promptTokens: 1,
-  isStream: true,
-} as const;
-const POISON = digestRequest("planners", REQUEST);
-const INNOCENT = digestRequest("planners", { ...REQUEST, prompt: "Count" });
+const POISON = "a".repeat(32);
+const INNOCENT = "b".repeat(32);
+const STRANGER = "c".repeat(32);
 
 /** Creates the quarantines of two hosts whose notices reach each other. */
 function createFleet() {
@@ -54,7 +47,7 @@
     for (const host of [first, second]) {
       expect(host.isQuarantined(POISON)).to.equal(true);
       expect(host.isQuarantined(INNOCENT)).to.equal(false);
-      expect(host.isQuarantined(digestRequest("strangers", REQUEST))).to.equal(false);
+      expect(host.isQuarantined(STRANGER)).to.equal(false);
     }
     clock.advance(QUARANTINE_DEFAULTS.quarantineMs);
     expect(first.isQuarantined(POISON)).to.equal(false);
@@ -79,13 +72,23 @@
     const { clock, hosts: [first, second] } = createFleet();
     first.noteDeath("plan-1", early(POISON));
     clock.advance(60_000);
-    second.noteEnd(POISON, "finished");
+    second.noteEnd(POISON, true);
     first.noteDeath("plan-2", early(POISON));
     clock.advance(QUARANTINE_DEFAULTS.settleMs);
     expect(first.isQuarantined(POISON)).to.equal(false);
     expect(second.isQuarantined(POISON)).to.equal(false);
   });
 
+  it("clears a suspect that ran well before its crash has gone round", () => {
+    const { clock, hosts: [first, second] } = createFleet();
+    first.noteDeath("plan-1", early(POISON));
+    first.noteEnd(POISON, true);
+    clock.advance(60_000);
+    second.noteDeath("plan-2", early(POISON));
+    clock.advance(QUARANTINE_DEFAULTS.settleMs);
+    expect(first.isQuarantined(POISON)).to.equal(false);
+  });
+
   it("ignores notices of another shape", () => {
     const { hosts: [first], send } = createFleet();
     for (const payload of [undefined, null, 7, "x", [], {}, { type: "quarantined" }]) {
--- a/packages/daemon/src/retries/decide_retry.ts
+++ b/packages/daemon/src/retries/decide_retry.ts
@@ -13,6 +13,8 @@
   readonly maxAttempts: number;
   /** The fleet's budget has room for another attempt. */
   readonly hasBudget: boolean;
+  /** It has crashed more than one upstream. */
+  readonly isQuarantined: boolean;
   readonly leftMs: number;
 }
 
@@ -30,7 +32,7 @@
     ? history.unrunAttempts < RETRY_LIMITS.maxUnrunAttempts
     : kind === "repeatable" && ranAttempts < history.maxAttempts;
   const isPaid = outcome === "notSent" || history.hasBudget;
-  if (isAllowed && isPaid && history.leftMs >= RETRY_LIMITS.minLeftMs) {
+  if (isAllowed && isPaid && !history.isQuarantined && history.leftMs >= RETRY_LIMITS.minLeftMs) {
     return "retry";
   }
   if (outcome === "failed") {
--- a/packages/daemon/src/retries/decide_retry_test.ts
+++ b/packages/daemon/src/retries/decide_retry_test.ts
@@ -13,6 +13,7 @@
   unrunAttempts: 0,
   maxAttempts: 2,
   hasBudget: true,
+  isQuarantined: false,
   leftMs: 1_000,
   ...change,
 });
@@ -58,6 +59,16 @@
       { kind: "repeatable", outcome: "refused", unrunAttempts: 9 },
       "unknown",
     ],
+    [
+      "does not send a read again that has crashed more than one upstream",
+      { kind: "repeatable", isQuarantined: true },
+      "unknown",
+    ],
+    [
+      "says not run of a booking that crashed others before and was refused now",
+      { outcome: "refused", ranAttempts: 0, unrunAttempts: 1, isQuarantined: true },
+      "notRun",
+    ],
     ["begins nothing that has no time left", { kind: "repeatable", leftMs: 5 }, "unknown"],
   ];
   for (const [title, change, expected] of cases) {
--- a/packages/daemon/src/retries/schedules/retry_mutations.ts
+++ b/packages/daemon/src/retries/schedules/retry_mutations.ts
@@ -26,6 +26,8 @@
   "one attempt too many": (history) => decideAs(history, { maxAttempts: history.maxAttempts + 1 }),
   "refusals are not counted": (history) => decideAs(history, { unrunAttempts: 0 }),
   "the budget is not asked": (history) => decideAs(history, { hasBudget: true }),
+  "a request that crashes upstreams goes on": (history) =>
+    decideAs(history, { isQuarantined: false }),
   "the time left is not looked at": (history) => decideAs(history, { leftMs: 1_000 }),
   "an answer is asked for again": (history) =>
     history.outcome === "answered"
--- a/packages/daemon/src/retries/schedules/walk_schedules.ts
+++ b/packages/daemon/src/retries/schedules/walk_schedules.ts
@@ -24,7 +24,7 @@
 
 /** A schedule that breaks an invariant. */
 export interface ScheduleFault {
-  readonly invariant: "TWICE" | "REFUSED" | "BUDGET" | "MIXED" | "LATE";
+  readonly invariant: "TWICE" | "REFUSED" | "BUDGET" | "MIXED" | "LATE" | "CRASHING";
   readonly schedule: readonly string[];
 }
 
@@ -48,6 +48,7 @@
   readonly kind: RequestKind;
   readonly maxAttempts: number;
   readonly hasBudget: boolean;
+  readonly isQuarantined: boolean;
   readonly leftMs: number;
   readonly worlds: readonly AttemptWorld[];
 }
@@ -70,6 +71,7 @@
         unrunAttempts: sentUnrun.length,
         maxAttempts: walked.maxAttempts,
         hasBudget: walked.hasBudget,
+        isQuarantined: walked.isQuarantined,
         leftMs: walked.leftMs,
       });
       const step = { ...walked, worlds };
@@ -87,7 +89,11 @@
   for (const kind of KINDS) {
     for (const maxAttempts of MAX_ATTEMPTS) {
       for (const hasBudget of [false, true]) {
-        LEFT_MS.forEach((leftMs) => walk({ kind, maxAttempts, hasBudget, leftMs, worlds: [] }));
+        for (const isQuarantined of [false, true]) {
+          LEFT_MS.forEach((leftMs) =>
+            walk({ kind, maxAttempts, hasBudget, isQuarantined, leftMs, worlds: [] })
+          );
+        }
       }
     }
   }
@@ -124,6 +130,9 @@
   if (isOverSent || isUnpaid || unrun >= RETRY_LIMITS.maxUnrunAttempts) {
     broken.push("BUDGET");
   }
+  if (walked.isQuarantined) {
+    broken.push("CRASHING");
+  }
   if (walked.leftMs < RETRY_LIMITS.minLeftMs) {
     broken.push("LATE");
   }
--- a/packages/protocol/src/result_codes/forwarding_result_codes.ts
+++ b/packages/protocol/src/result_codes/forwarding_result_codes.ts
@@ -51,4 +51,11 @@
     title: "Request headers exceed the limit",
     advice: "Send smaller headers",
   },
+  requestHeldBack: {
+    number: 8007,
+    status: 503,
+    ran: "no",
+    title: "Request has crashed more than one upstream and is held back",
+    advice: "Change the request, and report it to an operator",
+  },
 } as const satisfies Record<string, ResultCodeEntry>;
