Bound the hosts' reports to each other, so that 80 hosts can be served

Cause: every change of a load went from each host to every other one, and the regular reports too, four times a second: 463 datagrams of 835 B a second into each of 80 hosts, 7% of a core and 3 Mbit/s each way of links of 7.

Change: a host sends at most 80 regular reports a second, so above 20 hosts the interval grows, and is stated in the report; live times and the validity of loads follow it. Between them only what gets an engine more to do, a leaving upstream by the host that read it, and notices are told at once, without the observed rates. Hosts that are new to each other exchange the addresses they know at once: a test with 80 hosts and three seeds found that 60 of them had met only 16 others after 3 s, as a report's list of peers moved on by one. Hosts that read the store pause 50 ms, the others half of the drain time of the settings (700 ms before).

--- a/bench/src/engines/run_engine_load.ts
+++ b/bench/src/engines/run_engine_load.ts
@@ -208,7 +208,7 @@
       return;
     }
     const reports = hosts.map((host) => ({
-      receivedMs: nowMs,
+      expiresMs: Number.POSITIVE_INFINITY,
       loads: computeOwnLoads(host),
       conduct: new Map(host.conduct),
     }));
--- a/bench/src/policy/bench_event.ts
+++ b/bench/src/policy/bench_event.ts
@@ -1,4 +1,4 @@
-import type { BenchUpstream } from "./bench_upstream.ts";
+import type { BenchUpstream } from "./flight.ts";
 import type { TrafficRequest } from "./traffic_request.ts";
 
 /** What happens in a run. */
--- a/bench/src/policy/create_bench_upstreams.ts
+++ b/bench/src/policy/create_bench_upstreams.ts
@@ -1,7 +1,7 @@
 import { createOwnerState } from "@crocussail/daemon/policy";
 import { createEngineModel } from "@crocussail/stand_ins";
 import type { EngineSink } from "@crocussail/stand_ins";
-import type { BenchUpstream } from "./bench_upstream.ts";
+import type { BenchUpstream } from "./flight.ts";
 import { ENGINE_SHAPE } from "./engine_shape.ts";
 import type { RunOptions } from "./run_options.ts";
 
--- a/bench/src/policy/run_policy.ts
+++ b/bench/src/policy/run_policy.ts
@@ -10,7 +10,7 @@
 } from "@crocussail/daemon/policy";
 import type { Candidate, OwnerEffect, OwnerEvent, QueueEntry } from "@crocussail/daemon/policy";
 import type { BenchEvent } from "./bench_event.ts";
-import type { BenchUpstream } from "./bench_upstream.ts";
+import type { BenchUpstream } from "./flight.ts";
 import { createBenchUpstreams } from "./create_bench_upstreams.ts";
 import { createEventQueue } from "./create_event_queue.ts";
 import { createRunMeasures } from "./create_run_measures.ts";
--- a/packages/daemon/src/balancing/compute_loads.ts
+++ b/packages/daemon/src/balancing/compute_loads.ts
@@ -1,4 +1,3 @@
-import { BALANCING_LIMITS } from "./constants.ts";
 import type { LoadState } from "./load_state.ts";
 import { computeOwnLoads } from "./compute_own_loads.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
@@ -6,8 +5,8 @@
 /** Sums the load of every upstream over this host and the fresh reports of the others. */
 export function computeLoads(state: LoadState, nowMs: number): Map<string, UpstreamLoad> {
   const total = computeOwnLoads(state);
-  for (const { receivedMs, loads } of state.peers.values()) {
-    if (nowMs - receivedMs > BALANCING_LIMITS.peerLoadMaxAgeMs) {
+  for (const { expiresMs, loads } of state.peers.values()) {
+    if (nowMs > expiresMs) {
       continue;
     }
     for (const [id, load] of loads) {
--- a/packages/daemon/src/balancing/constants.ts
+++ b/packages/daemon/src/balancing/constants.ts
@@ -22,8 +22,6 @@
   delayWeight: 0.3,
   /** Factor on the cost of an upstream that fails all its requests. */
   failureCost: 12,
-  /** Reports of another host's load are left out after this time without a new one. */
-  peerLoadMaxAgeMs: 1_500,
   /** Guess of the rest of a generation that outlived its expected length, as a share of its length. */
   overrunShare: 0.35,
   /** Share of a generation's expected rest that is planned for; generations end at different times. */
--- a/packages/daemon/src/balancing/list_candidates.ts
+++ b/packages/daemon/src/balancing/list_candidates.ts
@@ -14,7 +14,12 @@
   nowMs: number,
 ): UpstreamCandidate[] {
   const loads = computeLoads(state, nowMs);
-  const seen = upstreams.map(({ record }) => joinConduct(state, record.id, nowMs));
+  const reports = [
+    state.conduct,
+    ...[...state.peers.values()].filter(({ expiresMs }) => nowMs <= expiresMs)
+      .map(({ conduct }) => conduct),
+  ];
+  const seen = upstreams.map(({ record }) => joinConduct(reports, record.id));
   const usualRate = computeMean(seen.map(({ tokensPerMs }) => tokensPerMs)) ??
     BALANCING_LIMITS.initialTokensPerMs;
   const usualTokenMs = computeMean(seen.map(({ tokenMs }) => tokenMs)) ??
@@ -34,12 +39,17 @@
   });
 }
 
-function joinConduct(state: LoadState, id: string, nowMs: number): UpstreamConduct {
-  const own = state.conduct.get(id);
-  const reported = [...state.peers.values()]
-    .filter(({ receivedMs }) => nowMs - receivedMs <= BALANCING_LIMITS.peerLoadMaxAgeMs)
-    .map(({ conduct }) => conduct.get(id));
-  const all = [own, ...reported].filter((conduct) => conduct !== undefined);
+function joinConduct(
+  reports: readonly ReadonlyMap<string, UpstreamConduct>[],
+  id: string,
+): UpstreamConduct {
+  const all: UpstreamConduct[] = [];
+  for (const report of reports) {
+    const conduct = report.get(id);
+    if (conduct !== undefined) {
+      all.push(conduct);
+    }
+  }
   return {
     tokensPerMs: computeMean(all.map(({ tokensPerMs }) => tokensPerMs)),
     tokenMs: computeMean(all.map(({ tokenMs }) => tokenMs)),
--- a/packages/daemon/src/balancing/load_state.ts
+++ b/packages/daemon/src/balancing/load_state.ts
@@ -3,7 +3,8 @@
 
 /** What another host reported last. */
 export interface PeerLoads {
-  readonly receivedMs: number;
+  /** Monotonic time from which they are left out, unless a new report comes. */
+  readonly expiresMs: number;
   readonly loads: ReadonlyMap<string, UpstreamLoad>;
   readonly conduct: ReadonlyMap<string, UpstreamConduct>;
 }
--- a/packages/daemon/src/balancing/mod.ts
+++ b/packages/daemon/src/balancing/mod.ts
@@ -8,7 +8,7 @@
 export { estimateRestTokens } from "./estimate_rest_tokens.ts";
 export type { Flight } from "./flight.ts";
 export { listCandidates } from "./list_candidates.ts";
-export type { LoadState, UpstreamConduct } from "./load_state.ts";
+export type { LoadState, PeerLoads, UpstreamConduct } from "./load_state.ts";
 export { observeConduct } from "./observe_conduct.ts";
 export { computeLoads } from "./compute_loads.ts";
 export { computeOwnLoads } from "./compute_own_loads.ts";
--- /dev/null
+++ b/packages/daemon/src/fleet_hosts/compute_report_interval.ts
@@ -0,0 +1,7 @@
+import { HOST_LIMITS } from "./constants.ts";
+
+/** Computes the interval of regular reports, in milliseconds, for a fleet of `hosts`. */
+export function computeReportInterval(hosts: number): number {
+  const sendsMs = (hosts - 1) * 1_000 / HOST_LIMITS.regularSendsPerSecond;
+  return Math.max(HOST_LIMITS.reportIntervalMs, Math.round(sendsMs));
+}
--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics, Timer } from "@crocussail/protocol";
 import type { DatagramSocket, OpenDatagramSocket } from "../adapters/datagram_socket.ts";
 import { applyHostReport } from "./apply_host_report.ts";
+import { computeReportInterval } from "./compute_report_interval.ts";
 import { HOST_LIMITS } from "./constants.ts";
 import { createHostNotices } from "./create_host_notices.ts";
 import type { HostNotices } from "./create_host_notices.ts";
@@ -22,7 +23,7 @@
   readonly fleetKey: string;
   readonly seeds: readonly string[];
   /** Builds this host's report, but for the fields that this slice keeps. */
-  readonly buildReport: () => Omit<HostReport, "sequence" | "peers" | "notices">;
+  readonly buildReport: () => Omit<HostReport, "sequence" | "intervalMs" | "peers" | "notices">;
   /** Receives each new report of another host. */
   readonly applyReport: (report: HostReport) => void;
 }
@@ -33,6 +34,8 @@
   stop(): void;
   /** Reports soon, because something changed. */
   noteNews(): void;
+  /** Reports soon in a small fleet; in a large one the next regular report is soon enough. */
+  noteChange(): void;
   setSeeds(seeds: readonly string[]): void;
   listLive(): HostReport[];
   /** Hosts that may be spending the retry budget, this one included. */
@@ -49,52 +52,86 @@
   let timer: Timer | undefined;
   let newsTimer: Timer | undefined;
   let sequence = 0;
-  let rounds = 0;
-  const noteNews = () => {
-    newsTimer ??= clock.startTimer(HOST_LIMITS.newsDelayMs, () => {
-      newsTimer = undefined;
-      sendReport(false);
-    });
-  };
-  const notices = createHostNotices({ clock, host: options.host, noteNews });
-
+  let intervalMs: number = HOST_LIMITS.reportIntervalMs;
+  let silentTriedMs = Number.NEGATIVE_INFINITY;
+  let peerTurn = 0;
+  let greetingTimer: Timer | undefined;
+  const strangers = new Set<string>();
   const receive = (datagram: Uint8Array) => {
     const report = decodeHostReport(datagram, options.fleetKey);
     if (report === undefined) {
       metrics.increment("hosts.rejected");
       return;
     }
+    const isNew = !state.hosts.has(report.host);
+    const named = report.peers.filter((address) => !state.addresses.has(address));
     const isOwn = report.peerAddress === options.peerAddress;
-    if (!isOwn && applyHostReport(state, report, clock.readMonotonicMs())) {
-      notices.acceptNotices(report);
-      options.applyReport(report);
+    if (isOwn || !applyHostReport(state, report, clock.readMonotonicMs())) {
+      return;
+    }
+    if (isNew || named.length > 0) {
+      noteStrangers(isNew ? [report.peerAddress, ...named] : named);
     }
+    notices.acceptNotices(report);
+    options.applyReport(report);
   };
 
-  const sendReport = (isRound: boolean) => {
-    sequence++;
+  const listHeard = () => {
     const nowMs = clock.readMonotonicMs();
-    const known = [...state.hosts.values()];
-    const heard = new Set(
-      known.filter(({ heardMs }) => nowMs - heardMs <= HOST_LIMITS.spenderMs)
-        .map(({ report }) => report.peerAddress),
-    );
-    const start = heard.size === 0 ? 0 : sequence % heard.size;
-    const peers = [...heard, ...heard].slice(start, start + HOST_LIMITS.reportedPeers);
-    const report = {
+    return [...state.hosts.values()]
+      .filter(({ heardMs }) => nowMs - heardMs <= HOST_LIMITS.spenderMs)
+      .map(({ report }) => report.peerAddress);
+  };
+  const sendReport = (
+    addresses: ReadonlySet<string>,
+    content: { readonly conduct: HostReport["conduct"]; readonly peers: readonly string[] },
+  ) => {
+    sequence++;
+    const datagram = encodeHostReport({
       ...options.buildReport(),
+      conduct: content.conduct,
       sequence,
+      intervalMs,
       notices: notices.listReported(),
-      peers: [...new Set(peers)],
-    };
-    const datagram = encodeHostReport(report, options.fleetKey);
-    const isForSilent = isRound && rounds % HOST_LIMITS.silentAddressEvery === 0;
-    for (const address of new Set([...heard, ...seeds, ...state.addresses.keys()])) {
-      if (address !== options.peerAddress && (heard.has(address) || isForSilent)) {
+      peers: [...content.peers],
+    }, options.fleetKey);
+    addresses.forEach((address) => {
+      if (address !== options.peerAddress) {
         socket?.send(address, datagram);
       }
-    }
+    });
+  };
+  const sendRegular = () => {
+    const heard = listHeard();
+    const start = heard.length === 0 ? 0 : peerTurn % heard.length;
+    peerTurn += HOST_LIMITS.reportedPeers;
+    const turn = [...heard.slice(start), ...heard.slice(0, start)];
+    const nowMs = clock.readMonotonicMs();
+    const isForSilent = nowMs - silentTriedMs >= HOST_LIMITS.silentAddressMs;
+    silentTriedMs = isForSilent ? nowMs : silentTriedMs;
+    const silent = isForSilent ? [...seeds, ...state.addresses.keys()] : [];
+    sendReport(new Set([...heard, ...silent]), {
+      conduct: options.buildReport().conduct,
+      peers: turn.slice(0, HOST_LIMITS.reportedPeers),
+    });
+  };
+  const noteNews = () => {
+    newsTimer ??= clock.startTimer(HOST_LIMITS.newsDelayMs, () => {
+      newsTimer = undefined;
+      sendReport(new Set(listHeard()), { conduct: null, peers: [] });
+    });
+  };
+  /** Tells hosts and addresses that are new here whom this host knows, so that all meet soon. */
+  const noteStrangers = (addresses: readonly string[]) => {
+    addresses.forEach((address) => strangers.add(address));
+    greetingTimer ??= clock.startTimer(HOST_LIMITS.newsDelayMs, () => {
+      greetingTimer = undefined;
+      const peers = listHeard().slice(-HOST_LIMITS.greetedPeers);
+      sendReport(strangers, { conduct: null, peers });
+      strangers.clear();
+    });
   };
+  const notices = createHostNotices({ clock, host: options.host, noteNews });
 
   const noteChanges = () => {
     const now = new Set(
@@ -108,15 +145,15 @@
     [...live].filter((host) => !now.has(host))
       .forEach((peer) => logger.writeEvent("hostLost", { peer, live: now.size }));
     live = now;
+    intervalMs = computeReportInterval(now.size + 1);
     metrics.gauge("hosts.live", now.size + 1);
   };
 
   const tick = () => {
     expireHosts(state, seeds, clock.readMonotonicMs());
     noteChanges();
-    sendReport(true);
-    rounds++;
-    timer = clock.startTimer(HOST_LIMITS.reportIntervalMs, tick);
+    sendRegular();
+    timer = clock.startTimer(intervalMs, tick);
   };
 
   return {
@@ -127,10 +164,16 @@
     stop: () => {
       timer?.cancel();
       newsTimer?.cancel();
+      greetingTimer?.cancel();
       socket?.close();
       socket = undefined;
     },
     noteNews,
+    noteChange: () => {
+      if (intervalMs <= HOST_LIMITS.reportIntervalMs) {
+        noteNews();
+      }
+    },
     publishNotice: notices.publishNotice,
     subscribeNotices: notices.subscribeNotices,
     setSeeds: (next) => {
--- /dev/null
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts_test.ts
@@ -0,0 +1,122 @@
+import { expect } from "chai";
+import type { Logger, Metrics } from "@crocussail/protocol";
+import { createManualClock } from "../common/create_manual_clock.ts";
+import { createSeededRandom } from "../common/create_seeded_random.ts";
+import { HOST_LIMITS } from "./constants.ts";
+import { createFleetHosts } from "./create_fleet_hosts.ts";
+import type { FleetHosts } from "./create_fleet_hosts.ts";
+import type { HostReport } from "./host_report_schema.ts";
+
+const STEP_MS = 2;
+const LOSS_SHARE = 0.01;
+const SEEDS = 3;
+const MESH_MS = 3_000;
+const LOGGER: Logger = { writeEvent: () => {} };
+const METRICS: Metrics = { increment: () => {}, gauge: () => {}, distribution: () => {} };
+
+/** Hosts on one clock and a network that delivers in a step, or loses a few datagrams. */
+async function createFleet(count: number) {
+  const clock = createManualClock();
+  const random = createSeededRandom(5);
+  const sockets = new Map<string, (datagram: Uint8Array) => void>();
+  const sent = { datagrams: 0, bytes: 0 };
+  const loads = new Map<number, HostReport["loads"]>();
+  const seen = new Map<number, Map<string, HostReport>>();
+  const hosts: FleetHosts[] = [];
+  const getAddress = (index: number) => `10.0.0.${index}:7200`;
+  for (let index = 0; index < count; index++) {
+    const reports = new Map<string, HostReport>();
+    seen.set(index, reports);
+    hosts.push(createFleetHosts({
+      clock,
+      logger: LOGGER,
+      metrics: METRICS,
+      openSocket: (address, receive) => {
+        sockets.set(address, receive);
+        return Promise.resolve({
+          send: (target, datagram) => {
+            sent.datagrams++;
+            sent.bytes += datagram.length;
+            if (random.nextFloat() >= LOSS_SHARE) {
+              clock.startTimer(STEP_MS, () => sockets.get(target)?.(datagram));
+            }
+          },
+          close: () => sockets.delete(address),
+        });
+      },
+      host: `h${index}`,
+      peerAddress: getAddress(index),
+      fleetKey: "0123456789abcdef0123456789abcdef",
+      seeds: Array.from({ length: SEEDS }, (_, seed) => getAddress(seed)),
+      buildReport: () => ({
+        host: `h${index}`,
+        incarnation: "i",
+        dataCentre: "a",
+        callerAddress: `10.0.0.${index}:80`,
+        peerAddress: getAddress(index),
+        size: 1,
+        isReady: true,
+        isLeaving: false,
+        settingsRevision: 1,
+        loads: loads.get(index) ?? [],
+        conduct: Array.from({ length: 12 }, (_, upstream) => [`engine-${upstream}`, 5, 7, 0]),
+        leaving: [],
+      }),
+      applyReport: (report) => reports.set(report.host, report),
+    }));
+  }
+  const run = async (ms: number) => {
+    for (let elapsed = 0; elapsed < ms; elapsed += STEP_MS) {
+      clock.advance(STEP_MS);
+    }
+    await Promise.resolve();
+  };
+  await Promise.all(hosts.map((host) => host.start()));
+  await run(MESH_MS);
+  return { hosts, sent, run, loads, seen };
+}
+
+describe("a fleet of hosts", () => {
+  for (const count of [8, 80]) {
+    it(`finds itself from three seeds, with ${count} hosts`, async () => {
+      const { hosts } = await createFleet(count);
+      hosts.forEach((host) => expect(host.listLive()).to.have.length(count - 1));
+    });
+
+    it(`knows additions to loads in 20 ms and what ends in ${count} hosts' interval`, async () => {
+      const { hosts, run, loads, seen } = await createFleet(count);
+      loads.set(4, [["engine-1", 1, 3_000, 3_000]]);
+      hosts[4]?.noteNews();
+      await run(20);
+      const readLoads = () =>
+        [...seen].filter(([index]) => index !== 4).map(([, reports]) => reports.get("h4")?.loads);
+      const known = readLoads().filter((reported) => reported?.length === 1);
+      expect(known.length).to.be.at.least(0.9 * (count - 1)); // 1 in 100 is lost
+      loads.set(4, []);
+      hosts[4]?.noteChange();
+      await run(count === 8 ? 300 : 1_100);
+      expect(readLoads().filter((reported) => reported?.length === 0).length)
+        .to.be.at.least(0.9 * (count - 1));
+    });
+
+    it(`names a host that has died no more, with ${count} hosts`, async () => {
+      const { hosts, run } = await createFleet(count);
+      hosts[count - 1]?.stop();
+      await run(count === 8 ? 1_300 : 3_000);
+      const named = hosts.slice(0, -1).flatMap((host) => host.listLive()).map(({ host }) => host);
+      expect(named).not.to.include(`h${count - 1}`);
+      // Of 6,162 pairs, one in 10,000 loses two reports in a row and misses a host for a second.
+      expect(named.length).to.be.at.least(0.999 * (count - 1) * (count - 2));
+    });
+  }
+
+  it("sends a bounded number of regular reports a host, also with 80 hosts", async () => {
+    const { sent, run } = await createFleet(80);
+    sent.datagrams = 0;
+    sent.bytes = 0;
+    await run(4_000);
+    const perHost = sent.datagrams / 80 / 4;
+    console.log(`    ${perHost.toFixed(0)} datagrams, ${(sent.bytes / 320).toFixed(0)} B/s a host`);
+    expect(perHost).to.be.at.most(1.1 * HOST_LIMITS.regularSendsPerSecond);
+  });
+});
--- a/packages/daemon/src/fleet_hosts/host_report_fields.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_fields.ts
@@ -5,6 +5,7 @@
   "host",
   "incarnation",
   "sequence",
+  "intervalMs",
   "dataCentre",
   "callerAddress",
   "peerAddress",
--- a/packages/daemon/src/fleet_hosts/host_report_schema.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_schema.ts
@@ -9,6 +9,8 @@
   incarnation: z.string().max(32),
   /** Rises with each report of an incarnation. */
   sequence: z.number().int(),
+  /** Time until its next regular report, in milliseconds. */
+  intervalMs: z.number().int().positive().max(60_000),
   dataCentre: z.string().max(200),
   /** Where callers connect, `ip:port`. */
   callerAddress: addressSchema,
@@ -25,9 +27,9 @@
   loads: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])).max(512),
   /**
    * Seen of upstreams: id, tokens read in a millisecond, milliseconds between tokens (both 0 where
-   * nothing was seen), share of failures.
+   * nothing was seen), share of failures. Null in a report between the regular ones: as before.
    */
-  conduct: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])).max(512),
+  conduct: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])).max(512).nullable(),
   /** Upstreams that leave: id, start, and whether this host only misses the record. */
   leaving: z.array(z.tuple([z.string(), z.number(), z.boolean()])).max(128),
   /** News for all hosts: topic, key, time for which it holds in milliseconds, unchecked content. */
@@ -38,7 +40,7 @@
     z.unknown(),
   ])).max(8),
   /** Some other hosts' peer addresses, for those that know few. */
-  peers: z.array(addressSchema).max(16),
+  peers: z.array(addressSchema).max(64),
 });
 
 /** A report of one host. */
--- a/packages/daemon/src/fleet_hosts/host_state_test.ts
+++ b/packages/daemon/src/fleet_hosts/host_state_test.ts
@@ -2,6 +2,7 @@
 import { createSeededRandom } from "../common/create_seeded_random.ts";
 import { applyHostReport } from "./apply_host_report.ts";
 import { chooseAddresses } from "./choose_addresses.ts";
+import { computeReportInterval } from "./compute_report_interval.ts";
 import { HOST_LIMITS } from "./constants.ts";
 import { decodeHostReport } from "./decode_host_report.ts";
 import { encodeHostReport } from "./encode_host_report.ts";
@@ -16,6 +17,7 @@
   host: "h1",
   incarnation: "i1",
   sequence: 1,
+  intervalMs: HOST_LIMITS.reportIntervalMs,
   dataCentre: "a",
   callerAddress: "10.0.0.1:80",
   peerAddress: "10.0.0.1:7200",
@@ -59,6 +61,14 @@
     expect([...state.addresses.keys()]).to.have.members(["10.0.0.1:7200", "10.0.0.2:7200"]);
   });
 
+  it("come less often in a large fleet, and make their host live for longer", () => {
+    expect([1, 8, 20, 81].map(computeReportInterval)).to.deep.equal([250, 250, 250, 1_000]);
+    const state = createState();
+    applyHostReport(state, createReport({ intervalMs: 1_000 }), 0);
+    expect(listLiveHosts(state, 2_500)).to.have.length(1);
+    expect(listLiveHosts(state, 2_501)).to.have.length(0);
+  });
+
   it("make a host live for a second, and known for a minute", () => {
     const state = createState();
     applyHostReport(state, createReport(), 0);
--- /dev/null
+++ b/packages/daemon/src/forwarding/check_request.ts
@@ -0,0 +1,38 @@
+import type { IncomingMessage } from "node:http";
+import type { CallerRequestHead } from "../adapters/deployment_dialect.ts";
+import { findRoute } from "../routes/mod.ts";
+import type { Route, RouteSettings, RouteTeam } from "../routes/mod.ts";
+import type { RefusalCode } from "./refusal_details.ts";
+
+/** A request that may be forwarded. */
+export interface AdmittedRequest {
+  readonly requestId: string;
+  readonly route: Route;
+  readonly team: RouteTeam | undefined;
+}
+
+/** Finds the route and team of a request, or why it is not forwarded. */
+export function checkRequest(
+  settings: RouteSettings,
+  incoming: IncomingMessage,
+  { requestId, teamKey }: Pick<CallerRequestHead, "requestId" | "teamKey">,
+): AdmittedRequest | RefusalCode {
+  const target = incoming.url ?? "/";
+  const hostName = incoming.headers.host;
+  if (requestId === undefined || hostName === undefined || !target.startsWith("/")) {
+    return "invalidRequest";
+  }
+  const headerBytes = incoming.rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
+  if (headerBytes > settings.limits.maxHeaderBytes) {
+    return "headersTooLarge";
+  }
+  const route = findRoute(settings, hostName, target);
+  if (route === undefined) {
+    return "noRoute";
+  }
+  const team = teamKey === undefined ? undefined : settings.teams?.get(teamKey);
+  if (settings.teams !== undefined && !route.isPublic && team === undefined) {
+    return "unknownKey";
+  }
+  return { requestId, route, team };
+}
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -2,10 +2,11 @@
 import type { Timer } from "@crocussail/protocol";
 import { estimateRestTokens } from "../balancing/mod.ts";
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
-import { chooseService, findRoute } from "../routes/mod.ts";
-import type { Route, RouteSettings, RouteTeam } from "../routes/mod.ts";
+import { chooseService } from "../routes/mod.ts";
+import type { RouteSettings } from "../routes/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { CallerReply } from "./caller_reply.ts";
+import { checkRequest } from "./check_request.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createCallerReply } from "./create_caller_reply.ts";
@@ -15,8 +16,9 @@
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
 import { readBody } from "./read_body.ts";
-import { restoreGeneration } from "./restore_generation.ts";
 import { moveGeneration } from "./move_generation.ts";
+import { REFUSAL_DETAILS } from "./refusal_details.ts";
+import type { RefusalCode } from "./refusal_details.ts";
 import { runGeneration } from "./run_generation.ts";
 import { runPlainRequest } from "./run_plain_request.ts";
 
@@ -88,7 +90,7 @@
     const isSilent = nowMs - run.lastEventMs > FORWARDING_LIMITS.silenceMs;
     const hasCopy = run.flight?.copyUpstreamId !== undefined;
     if (run.phase === "running" && isSilent && hasCopy && !run.isMoving && run.sentEvents > 0) {
-      restoreGeneration(context, run, "upstream has fallen silent");
+      run.restore("upstream has fallen silent");
     }
   };
   const tick = () => {
@@ -196,7 +198,7 @@
       return;
     }
     const target = incoming.url ?? "/";
-    const admitted = checkRequest(settings, incoming, head.requestId, head.teamKey, target);
+    const admitted = checkRequest(settings, incoming, head);
     if (typeof admitted === "string") {
       incoming.resume();
       refuse(reply, admitted);
@@ -259,49 +261,3 @@
     stop: () => timer?.cancel(),
   };
 }
-
-interface AdmittedRequest {
-  readonly requestId: string;
-  readonly route: Route;
-  readonly team: RouteTeam | undefined;
-}
-
-type RefusalCode = keyof typeof REFUSAL_DETAILS;
-
-const REFUSAL_DETAILS = {
-  invalidRequest: "the request needs one id, one host name and a path",
-  noRoute: "no published route has this host name and path",
-  unknownKey: "the key belongs to no team",
-  headersTooLarge: "the headers are larger than the published limit",
-  bodyTooLarge: "the body is larger than the published limit",
-  settingsUnknown: "no published settings have been read yet",
-  noUpstreamLeft: "no service of the route takes requests",
-  requestHeldBack: "the request has crashed more than one upstream",
-  noRoomInTime: "this host holds too many bodies",
-} as const;
-
-function checkRequest(
-  settings: RouteSettings,
-  incoming: IncomingMessage,
-  requestId: string | undefined,
-  teamKey: string | undefined,
-  target: string,
-): AdmittedRequest | RefusalCode {
-  const hostName = incoming.headers.host;
-  if (requestId === undefined || hostName === undefined || !target.startsWith("/")) {
-    return "invalidRequest";
-  }
-  const headerBytes = incoming.rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
-  if (headerBytes > settings.limits.maxHeaderBytes) {
-    return "headersTooLarge";
-  }
-  const route = findRoute(settings, hostName, target);
-  if (route === undefined) {
-    return "noRoute";
-  }
-  const team = teamKey === undefined ? undefined : settings.teams?.get(teamKey);
-  if (settings.teams !== undefined && !route.isPublic && team === undefined) {
-    return "unknownKey";
-  }
-  return { requestId, route, team };
-}
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -24,6 +24,8 @@
   readonly budgets: Map<string, RetryBudgetState>;
   /** Most hosts that may be spending the fleet's budget now. */
   readonly countSpenders: () => number;
-  /** This host's load has changed; the other hosts hear of it soon. */
+  /** An upstream has got more to do; the other hosts hear of it at once. */
+  readonly noteLoadAdded: () => void;
+  /** This host's load has changed otherwise; in a large fleet the other hosts hear of it later. */
   readonly noteLoadChange: () => void;
 }
--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -43,6 +43,8 @@
   lastEventMs: number;
   /** A move is under way. */
   isMoving: boolean;
+  /** Goes on from its copy after its upstream broke off, or ends it honestly. */
+  readonly restore: (reason: string) => void;
   /** Ends the run as a whole. */
   finish: (end: string) => void;
 }
--- a/packages/daemon/src/forwarding/move_generation.ts
+++ b/packages/daemon/src/forwarding/move_generation.ts
@@ -6,7 +6,6 @@
 import { findCopy } from "./find_copy.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun, GenerationStream } from "./generation_run.ts";
-import { restoreGeneration } from "./restore_generation.ts";
 import { resumeGeneration } from "./resume_generation.ts";
 import { sendEvent } from "./send_event.ts";
 import { waitFor } from "./wait_for.ts";
@@ -93,7 +92,7 @@
     return false;
   }
   flight.copyUpstreamId = target.record.id;
-  context.noteLoadChange();
+  context.noteLoadAdded();
   noteStart(context, run, target, "move");
   const result = await context.memory.copyMemory({
     sourceAddress: source.record.address,
@@ -166,7 +165,7 @@
   run.phase = "running";
   held.forEach((event) => sendEvent(context, run, event));
   if (stream.closed === "fail") {
-    restoreGeneration(context, run, "stream closed while another upstream was asked");
+    run.restore("stream closed while another upstream was asked");
   }
 }
 
--- a/packages/daemon/src/forwarding/relay_events.ts
+++ b/packages/daemon/src/forwarding/relay_events.ts
@@ -3,7 +3,6 @@
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun, GenerationStream } from "./generation_run.ts";
 import type { GenerationHandler, GenerationRefusal } from "./open_generation_exchange.ts";
-import { restoreGeneration } from "./restore_generation.ts";
 import { noteLoss } from "./note_loss.ts";
 import { sendEvent } from "./send_event.ts";
 import { splitEvents } from "./split_events.ts";
@@ -76,7 +75,7 @@
         noteLoss(context, run.request, run.upstream);
       }
       if (run.phase === "running" && !stream.isDetached) {
-        restoreGeneration(context, run, reason);
+        run.restore(reason);
       }
     },
     refuse,
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -97,7 +97,7 @@
       run.flight = flight;
       run.lastEventMs = context.clock.readMonotonicMs();
       context.loads.flights.set(request.requestId, flight);
-      context.noteLoadChange();
+      context.noteLoadAdded();
       context.logger.writeEvent("generationContinued", {
         request: request.requestId,
         upstream: upstream.record.id,
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -53,6 +53,7 @@
     longestGapMs: 0,
     lastEventMs: context.clock.readMonotonicMs(),
     isMoving: false,
+    restore: (reason) => restoreGeneration(context, run, reason),
     finish: (end) => {
       if (run.phase === "ended") {
         return;
@@ -112,7 +113,7 @@
       return;
     }
     // Without a word of the upstream it may have run: its copy, if there is one, goes on.
-    restoreGeneration(context, run, refusal.reason);
+    run.restore(refusal.reason);
   };
 
   const launch = (upstream: Upstream) => {
@@ -130,7 +131,7 @@
       aheadTokens: computeLoads(context.loads, nowMs).get(upstream.record.id)?.readingTokens ?? 0,
     };
     context.loads.flights.set(request.requestId, flight);
-    context.noteLoadChange();
+    context.noteLoadAdded();
     if (unrunAttempts > 0) {
       budget.countRepeat();
     }
--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -2,8 +2,10 @@
 export const GATEWAY_LIMITS = {
   /** Hosts that read changes of upstreams at once and tell the others who leaves. */
   promptReaders: 2,
-  /** Pause between reads at all other hosts: well below the 2 s within which leaving must be known. */
-  readPauseMs: 700,
+  /** Pause between their reads: upstreams write 40 times a second in a fleet of 50. */
+  promptReadPauseMs: 50,
+  /** Pause between reads at all other hosts, as a share of the time in which leaving must be known. */
+  readPauseDrainShare: 0.5,
   /** Time for which callers may keep a directory answer; a lost host is named no longer than this. */
   directoryTtlMs: 2_000,
   /** A leaving host answers those who still keep its address for this long. */
@@ -14,6 +16,8 @@
   maxParsedHeaderBytes: 65_536,
   /** Interval at which time limits of idle and slow connections are checked. */
   connectionCheckMs: 500,
+  /** Live times for which the load of a host that falls silent still counts. */
+  loadLiveTimes: 1.5,
   /** Upstreams whose observed rates a report carries; it stays below one packet of 1,500 bytes. */
   reportedConduct: 12,
   /** Limits of the quarantine that replace its defaults. */
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -1,7 +1,7 @@
 import type { Timer } from "@crocussail/protocol";
 import type { Server, ServerResponse } from "node:http";
 import type { PublishedSettings } from "../adapters/deployment_feed.ts";
-import { computeOwnLoads, createLoadState } from "../balancing/mod.ts";
+import { createLoadState } from "../balancing/mod.ts";
 import { rankByRendezvous } from "../common/rank_by_rendezvous.ts";
 import { chooseAddresses, createFleetHosts, HOST_LIMITS } from "../fleet_hosts/mod.ts";
 import type { HostReport } from "../fleet_hosts/mod.ts";
@@ -9,8 +9,10 @@
 import { createQuarantine } from "../quarantine/mod.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
+import { describeLoads } from "./describe_loads.ts";
 import type { GatewayOptions } from "./gateway_options.ts";
 import { openHttpListener } from "./open_http_listener.ts";
+import { readPeerLoads } from "./read_peer_loads.ts";
 
 /** A daemon that forwards by published routes. */
 export interface Gateway {
@@ -39,13 +41,18 @@
     clock,
     logger,
     metrics,
-    noteLeaving: (upstream) => {
-      hosts.noteNews();
+    noteLeaving: (upstream, isOwnWord) => {
+      if (isOwnWord) {
+        hosts.noteNews();
+      }
       forwarder.moveFrom(upstream);
     },
   });
   const isReady = () => published !== undefined && !isLeaving;
-  const describeHost = (): Omit<HostReport, "sequence" | "peers" | "notices"> => ({
+  const describeHost = (): Omit<
+    HostReport,
+    "sequence" | "intervalMs" | "peers" | "notices"
+  > => ({
     host: config.host.name,
     incarnation,
     dataCentre: config.host.dataCentre,
@@ -55,17 +62,7 @@
     isReady: isReady(),
     isLeaving,
     settingsRevision: published?.revision ?? 0,
-    loads: [...computeOwnLoads(loads)].map((
-      [id, load],
-    ) => [id, load.flights, load.memoryTokens, load.readingTokens]),
-    conduct: [...loads.conduct].slice(-GATEWAY_LIMITS.reportedConduct).map((
-      [id, { tokensPerMs, tokenMs, failureShare }],
-    ) => [
-      id,
-      computeRounded(tokensPerMs ?? 0),
-      computeRounded(tokenMs ?? 0),
-      computeRounded(failureShare),
-    ]),
+    ...describeLoads(loads),
     leaving: upstreams.listLeaving(HOST_LIMITS.leavingReportMs),
   });
   const hosts = createFleetHosts({
@@ -79,22 +76,7 @@
     seeds: listSeedAddresses(config.peers.seeds, config.listen.peerPort),
     buildReport: describeHost,
     applyReport: (report) => {
-      const entries = report.loads.map(([id, flights, memoryTokens, readingTokens]) =>
-        [id, { flights, memoryTokens, readingTokens }] as const
-      );
-      const receivedMs = clock.readMonotonicMs();
-      const seen = report.conduct.map(([id, tokensPerMs, tokenMs, failureShare]) =>
-        [id, {
-          tokensPerMs: tokensPerMs === 0 ? undefined : tokensPerMs,
-          tokenMs: tokenMs === 0 ? undefined : tokenMs,
-          failureShare,
-        }] as const
-      );
-      loads.peers.set(report.host, {
-        receivedMs,
-        loads: new Map(entries),
-        conduct: new Map(seen),
-      });
+      loads.peers.set(report.host, readPeerLoads(loads, report, clock.readMonotonicMs()));
       for (const [id, startedAt, isAbsent] of report.leaving) {
         // A record that another host misses around an outage may be back before this host looks.
         if (!isAbsent || !upstreams.state.isServiceAway) {
@@ -130,7 +112,8 @@
       },
       budgets: new Map(),
       countSpenders: hosts.countSpenders,
-      noteLoadChange: () => hosts.noteNews(),
+      noteLoadAdded: () => hosts.noteNews(),
+      noteLoadChange: () => hosts.noteChange(),
     },
     readSettings: () => published?.settings,
     isLeaving: () => isLeaving,
@@ -148,13 +131,15 @@
     }
     metrics.gauge("settings.version", version);
     logger.writeEvent("settingsInForce", { version, revision: next.revision });
-    hosts.noteNews();
+    hosts.noteChange();
   };
 
   const readPauseMs = () => {
     const live = [config.host.name, ...hosts.listLive().map(({ host }) => host)];
     const readers = rankByRendezvous("upstreams", live).slice(0, GATEWAY_LIMITS.promptReaders);
-    return readers.includes(config.host.name) ? 0 : GATEWAY_LIMITS.readPauseMs;
+    return readers.includes(config.host.name)
+      ? GATEWAY_LIMITS.promptReadPauseMs
+      : config.upstreams.drainMs * GATEWAY_LIMITS.readPauseDrainShare;
   };
 
   const answerDirectory = (target: string, response: ServerResponse) => {
@@ -289,11 +274,6 @@
   };
 }
 
-/** Keeps two decimals: reports stay small, and finer differences decide nothing. */
-function computeRounded(value: number): number {
-  return Math.round(value * 100) / 100;
-}
-
 function listSeedAddresses(seeds: readonly string[], peerPort: number): string[] {
   return seeds.map((seed) => `${seed.slice(0, seed.lastIndexOf(":"))}:${peerPort}`);
 }
--- a/packages/daemon/src/gateway/create_upstream_view.ts
+++ b/packages/daemon/src/gateway/create_upstream_view.ts
@@ -13,8 +13,10 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** An upstream has begun to leave, or its lifetime is over. */
-  readonly noteLeaving: (upstream: Upstream) => void;
+  /**
+   * An upstream has begun to leave, or its lifetime is over; `isOwnWord` unless another host said so.
+   */
+  readonly noteLeaving: (upstream: Upstream, isOwnWord: boolean) => void;
 }
 
 /** The table of upstreams with its log lines. */
@@ -35,7 +37,7 @@
 export function createUpstreamView(options: UpstreamViewOptions): UpstreamView {
   const { clock, logger, metrics } = options;
   const state = createUpstreamState();
-  const reportLeaving = (upstream: Upstream | undefined, by: string) => {
+  const reportLeaving = (upstream: Upstream | undefined, by: string, isOwnWord = true) => {
     if (upstream === undefined) {
       return;
     }
@@ -46,7 +48,7 @@
       status: upstream.status,
       by,
     });
-    options.noteLeaving(upstream);
+    options.noteLeaving(upstream, isOwnWord);
   };
   return {
     state,
@@ -72,6 +74,7 @@
       reportLeaving(
         markUpstreamLeaving(state, id, startedAt, isAbsent, clock.readMonotonicMs()),
         by,
+        false,
       ),
     noteContact: (isAnswering) => {
       state.isServiceAway = !isAnswering;
--- a/packages/daemon/src/gateway/gateway_config_schema.ts
+++ b/packages/daemon/src/gateway/gateway_config_schema.ts
@@ -51,6 +51,10 @@
   settingsService: z.strictObject({
     address: addressSchema,
   }),
+  upstreams: z.strictObject({
+    /** Time after which no request may go to an upstream that has said that it leaves. */
+    drainMs: positiveSchema,
+  }),
   retries: z.strictObject({
     /** Repeats for each request. */
     ratio: countSchema,
--- /dev/null
+++ b/packages/daemon/src/gateway/read_peer_loads.ts
@@ -0,0 +1,30 @@
+import type { LoadState, PeerLoads, UpstreamConduct } from "../balancing/mod.ts";
+import { computeLiveTime } from "../fleet_hosts/mod.ts";
+import type { HostReport } from "../fleet_hosts/mod.ts";
+import { GATEWAY_LIMITS } from "./constants.ts";
+
+/** Reads another host's loads and observations; a report without observations leaves them as known. */
+export function readPeerLoads(
+  loads: LoadState,
+  report: Pick<HostReport, "host" | "intervalMs" | "loads" | "conduct">,
+  nowMs: number,
+): PeerLoads {
+  const known: PeerLoads["conduct"] = loads.peers.get(report.host)?.conduct ?? new Map();
+  return {
+    expiresMs: nowMs + computeLiveTime(report.intervalMs) * GATEWAY_LIMITS.loadLiveTimes,
+    loads: new Map(report.loads.map((
+      [id, flights, memoryTokens, readingTokens],
+    ) => [id, { flights, memoryTokens, readingTokens }])),
+    conduct: report.conduct === null ? known : readConduct(report.conduct),
+  };
+}
+
+function readConduct(
+  conduct: Exclude<HostReport["conduct"], null>,
+): ReadonlyMap<string, UpstreamConduct> {
+  return new Map(conduct.map(([id, tokensPerMs, tokenMs, failureShare]) => [id, {
+    tokensPerMs: tokensPerMs === 0 ? undefined : tokensPerMs,
+    tokenMs: tokenMs === 0 ? undefined : tokenMs,
+    failureShare,
+  }]));
+}
--- a/packages/daemon/src/gateway/resolve_gateway_config_test.ts
+++ b/packages/daemon/src/gateway/resolve_gateway_config_test.ts
@@ -23,6 +23,9 @@
 [settings_service]
 address = 10.200.1.7:8742
 
+[upstreams]
+drain_ms = 2000
+
 [retries]
 ratio = 0.2
 slack = 56
--- a/packages/daemon/src/generations/end_run.ts
+++ b/packages/daemon/src/generations/end_run.ts
@@ -2,7 +2,7 @@
 import type { ResultError } from "@crocussail/protocol";
 import type { AnswerWriter } from "./answer_writer.ts";
 import type { GenerationServices } from "./generation_services.ts";
-import type { RelayEnd } from "./relay_generation.ts";
+import type { RelayEnd } from "./relay_options.ts";
 import type { Run } from "./run.ts";
 
 /** Options of {@link endRun}. */
--- a/packages/daemon/src/generations/relay_run.ts
+++ b/packages/daemon/src/generations/relay_run.ts
@@ -2,7 +2,7 @@
 import type { AnswerWriter } from "./answer_writer.ts";
 import type { GenerationServices } from "./generation_services.ts";
 import { relayGeneration } from "./relay_generation.ts";
-import type { RelayEnd } from "./relay_generation.ts";
+import type { RelayEnd } from "./relay_options.ts";
 import type { Run } from "./run.ts";
 
 /** Options of {@link relayRun}. */
--- a/packages/daemon/src/generations/relay_stream.ts
+++ b/packages/daemon/src/generations/relay_stream.ts
@@ -2,7 +2,7 @@
 import type { EngineEvent } from "../adapters/engine_event_schema.ts";
 import { createIdleTimer } from "./create_idle_timer.ts";
 import { decideRelay } from "./decide_relay.ts";
-import type { RelayEnd, RelayOptions } from "./relay_generation.ts";
+import type { RelayEnd, RelayOptions } from "./relay_options.ts";
 import { waitForCaller } from "./wait_for_caller.ts";
 
 /** How one connection to the engine ended; `broken` means without a finish. */
--- a/packages/daemon/src/generations/wait_for_caller.ts
+++ b/packages/daemon/src/generations/wait_for_caller.ts
@@ -1,5 +1,5 @@
 import { createIdleTimer } from "./create_idle_timer.ts";
-import type { RelayOptions } from "./relay_generation.ts";
+import type { RelayOptions } from "./relay_options.ts";
 
 /** Waits until the caller's connection has room; false when it stays full for too long. */
 export function waitForCaller(
--- a/packages/daemon/src/membership/create_membership.ts
+++ b/packages/daemon/src/membership/create_membership.ts
@@ -1,7 +1,7 @@
 import type { Timer } from "@crocussail/protocol";
 import { pack } from "msgpackr";
 import type { DaemonContext } from "../common/daemon_context.ts";
-import type { SettingsView } from "../settings/mod.ts";
+import type { SettingsView } from "../common/settings_view.ts";
 import { acceptNotice } from "./accept_notice.ts";
 import { applyHeartbeat } from "./apply_heartbeat.ts";
 import { applyProbeReply } from "./apply_probe_reply.ts";
--- a/packages/daemon/src/settings/create_settings.ts
+++ b/packages/daemon/src/settings/create_settings.ts
@@ -16,7 +16,7 @@
 import { settingsPageSchema } from "./settings_page_schema.ts";
 import type { SettingsPage } from "./settings_page_schema.ts";
 import { createSettingsState } from "./settings_state.ts";
-import type { SettingsView } from "./settings_view.ts";
+import type { SettingsView } from "../common/settings_view.ts";
 
 /** Options of {@link createSettings}. */
 export interface SettingsOptions {
--- a/packages/daemon/src/settings/create_settings_view.ts
+++ b/packages/daemon/src/settings/create_settings_view.ts
@@ -10,7 +10,7 @@
 } from "@crocussail/protocol";
 import { createTeamKeyIndex } from "./create_team_key_index.ts";
 import type { SettingsState } from "./settings_state.ts";
-import type { SettingsView, TeamSettings } from "./settings_view.ts";
+import type { SettingsView, TeamSettings } from "../common/settings_view.ts";
 
 const DEFAULT_LIMITS = Object.freeze(fleetLimitsSchema.parse({}));
 
