--- a/packages/daemon/src/adapters/deployment_feed.ts
+++ b/packages/daemon/src/adapters/deployment_feed.ts
@@ -20,13 +20,17 @@
   rejectValue(key: string, reason: string): void;
 }
 
+/** How often a feed reads, in milliseconds; asked anew each time. */
+export interface FeedPace {
+  /** Pause between two reads of upstreams; a longer one gathers more changes in one read. */
+  readonly computeReadPause: () => number;
+  /** Time after which a watch of the settings without news is ended and begun anew. */
+  readonly computeSettingsWait: () => number;
+}
+
 /** Reads and watches what a deployment publishes. */
 export interface DeploymentFeed {
-  /**
-   * @param readPauseMs Pause between two reads of upstreams, asked anew each time; a longer one
-   *   gathers more changes in one read.
-   */
-  start(listener: DeploymentFeedListener, readPauseMs: () => number): void;
+  start(listener: DeploymentFeedListener, pace: FeedPace): void;
   /** Reads the settings now, because another host knows a later revision. */
   refreshSettings(): void;
   stop(): void;
--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -3,9 +3,18 @@
   /** Hosts that read changes of upstreams at once and tell the others who leaves. */
   promptReaders: 2,
   /** Pause between their reads: upstreams write 40 times a second in a fleet of 50. */
-  promptReadPauseMs: 50,
+  promptReadPauseMs: 100,
   /** Pause between reads at all other hosts, as a share of the time in which leaving must be known. */
-  readPauseDrainShare: 0.5,
+  readPauseDrainShare: 0.6,
+  /**
+   * Time after which a watch of the settings is begun anew: a silent connection hides a version for
+   * no longer, and one of the hosts' watches ends several times a second in a large fleet.
+   */
+  settingsWaitMs: 3_000,
+  /** The same for each host of a larger fleet. */
+  settingsWaitPerHostMs: 125,
+  /** Longest of these times. */
+  maxSettingsWaitMs: 10_000,
   /** Time for which callers may keep a directory answer; a lost host is named no longer than this. */
   directoryTtlMs: 2_000,
   /** A leaving host answers those who still keep its address for this long. */
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -134,7 +134,7 @@
     hosts.noteChange();
   };
 
-  const readPauseMs = () => {
+  const computeReadPause = () => {
     const live = [config.host.name, ...hosts.listLive().map(({ host }) => host)];
     const readers = rankByRendezvous("upstreams", live).slice(0, GATEWAY_LIMITS.promptReaders);
     return readers.includes(config.host.name)
@@ -142,6 +142,12 @@
       : config.upstreams.drainMs * GATEWAY_LIMITS.readPauseDrainShare;
   };
 
+  const computeSettingsWait = () => {
+    const byHosts = (hosts.listLive().length + 1) * GATEWAY_LIMITS.settingsWaitPerHostMs;
+    const waitMs = Math.max(GATEWAY_LIMITS.settingsWaitMs, byHosts);
+    return Math.min(waitMs, GATEWAY_LIMITS.maxSettingsWaitMs);
+  };
+
   const answerDirectory = (target: string, response: ServerResponse) => {
     if (new URL(target, "http://directory").pathname !== directory.directoryPath) {
       response.writeHead(404).end();
@@ -239,7 +245,7 @@
           });
         },
         rejectValue: (key, reason) => logger.writeEvent("publishedValueRejected", { key, reason }),
-      }, readPauseMs);
+      }, { computeReadPause, computeSettingsWait });
       await openListeners();
       forwarder.start();
       tick();
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -12,6 +12,7 @@
 export type {
   DeploymentFeed,
   DeploymentFeedListener,
+  FeedPace,
   PublishedSettings,
 } from "../adapters/deployment_feed.ts";
 export type {
