--- a/packages/daemon/src/adapters/deployment_feed.ts
+++ b/packages/daemon/src/adapters/deployment_feed.ts
@@ -33,5 +33,7 @@
   start(listener: DeploymentFeedListener, pace: FeedPace): void;
   /** Reads the settings now, because another host knows a later revision. */
   refreshSettings(): void;
+  /** Reads everything now, because this process has not run for a while. */
+  refreshAll(): void;
   stop(): void;
 }
--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -38,6 +38,6 @@
   },
   /** Interval of housekeeping. */
   tickMs: 100,
-  /** A gap between two ticks from which the process counts as paused. */
+  /** A gap between two ticks from which the process counts as paused, by either clock. */
   pauseMs: 1_000,
 } as const;
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -10,6 +10,7 @@
 import { GATEWAY_LIMITS } from "./constants.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
 import { describeLoads } from "./describe_loads.ts";
+import { findPause } from "./find_pause.ts";
 import type { GatewayOptions } from "./gateway_options.ts";
 import { openHttpListener } from "./open_http_listener.ts";
 import { readPeerLoads } from "./read_peer_loads.ts";
@@ -35,7 +36,11 @@
   let published: PublishedSettings | undefined;
   let isLeaving = false;
   let timer: Timer | undefined;
-  let lastTickMs = clock.readMonotonicMs();
+  const readClocks = () => ({
+    monotonicMs: clock.readMonotonicMs(),
+    wallMs: clock.readWallTime().getTime(),
+  });
+  let lastTick = readClocks();
 
   const upstreams = createUpstreamView({
     clock,
@@ -204,11 +209,12 @@
   };
 
   const tick = () => {
-    const nowMs = clock.readMonotonicMs();
-    const gapMs = nowMs - lastTickMs;
-    lastTickMs = nowMs;
-    if (gapMs > GATEWAY_LIMITS.pauseMs) {
-      logger.writeEvent("pauseNoticed", { gapMs: Math.round(gapMs) });
+    const now = readClocks();
+    const pause = findPause(lastTick, now, GATEWAY_LIMITS.pauseMs);
+    lastTick = now;
+    if (pause !== undefined) {
+      logger.writeEvent("pauseNoticed", { ...pause, gapMs: Math.round(pause.gapMs) });
+      options.feed.refreshAll();
     }
     upstreams.tick();
     for (const id of loads.conduct.keys()) {
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -25,7 +25,7 @@
   pauseNoticed: {
     number: 8005,
     level: "warn",
-    title: "Process did not run for a while",
+    title: "Process did not run for a while, or its time of day was set; it reads everything anew",
     action: "Look for a frozen or overloaded host",
   },
   requestPlaced: {
