--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -128,6 +128,8 @@
     logger.writeEvent("requestServed", {
       request: request.requestId,
       route: request.route.name,
+      kind,
+      targetMs: request.route.targetMs,
       end,
       tookMs: Math.round(tookMs),
       ...stream,
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -121,6 +121,7 @@
     const { promptTokens, maxOutputTokens, expectedTokens } = request.head;
     const size = { promptTokens, maxOutputTokens, expectedTokens, producedTokens: 0 };
     const copyTo = chooseCopy(context, request, upstream, size);
+    const load = computeLoads(context.loads, nowMs).get(upstream.record.id);
     const flight: Flight = {
       requestId: request.requestId,
       upstreamId: upstream.record.id,
@@ -128,7 +129,7 @@
       ...size,
       isReading: true,
       placedMs: nowMs,
-      aheadTokens: computeLoads(context.loads, nowMs).get(upstream.record.id)?.readingTokens ?? 0,
+      aheadTokens: load?.readingTokens ?? 0,
     };
     context.loads.flights.set(request.requestId, flight);
     context.noteLoadAdded();
@@ -144,6 +145,9 @@
       route: request.route.name,
       upstream: upstream.record.id,
       copy: copyTo?.record.id ?? "none",
+      running: load?.flights ?? 0,
+      memoryTokens: load?.memoryTokens ?? 0,
+      aheadTokens: flight.aheadTokens,
       waitedMs: Math.round(nowMs - request.arrivedMs),
       leftMs: Math.round(request.limitMs - nowMs),
     });
