--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,6 +6,7 @@
 import { EntryCommand } from "./entry/entry_command.ts";
 import { ExplainCommand } from "./explain/explain_command.ts";
 import { LoadCommand } from "./load/load_command.ts";
+import { ReportCommand } from "./report/report_command.ts";
 import { StateCommand } from "./state/state_command.ts";
 import { TraceCommand } from "./trace/trace_command.ts";
 
@@ -23,6 +24,7 @@
     EntryCommand,
     ExplainCommand,
     LoadCommand,
+    ReportCommand,
     StateCommand,
     TraceCommand,
   ]
--- /dev/null
+++ b/packages/cli/src/report/report_command.ts
@@ -0,0 +1,67 @@
+import { Command, Option } from "clipanion";
+import { readFile, writeFile } from "node:fs/promises";
+import { text as readText } from "node:stream/consumers";
+import { EXIT_CODE } from "../common/exit_code.ts";
+import { parseLogLines } from "../common/parse_log_lines.ts";
+import { buildCharts } from "./build_charts.ts";
+import { decideReportedEnd } from "./decide_reported_end.ts";
+import { renderReport } from "./render_report.ts";
+
+/** `crocussail report`: charts of a day from the logs of its hosts. */
+export class ReportCommand extends Command {
+  static override paths = [["report"]];
+  static override usage = Command.Usage({
+    description: "Draws a day from the logs of several hosts",
+    details: "Reads log files, or standard input for - or no file, and writes an HTML page with " +
+      "charts of what callers got by kind of request, of moves, and of engines' memory. Exit " +
+      "code 1 when the logs hold no request, 2 when a file cannot be read or written.",
+    examples: [
+      ["Draw the logs of two hosts", "$0 report --out day.html host-1.log host-2.log"],
+      ["Read standard input", "$0 report --out day.html -"],
+    ],
+  });
+
+  out = Option.String("--out", { required: true, description: "HTML file to write" });
+
+  files = Option.Rest({ name: "file" });
+
+  override async execute(): Promise<number> {
+    const texts: string[] = [];
+    for (const file of this.files.length === 0 ? ["-"] : this.files) {
+      try {
+        texts.push(
+          file === "-" ? await readText(this.context.stdin) : await readFile(file, "utf8"),
+        );
+      } catch (error) {
+        this.context.stderr.write(`${file}: ${(error as Error).message}; name a log file or -\n`);
+        return EXIT_CODE.usage;
+      }
+    }
+    const lines = texts.flatMap(parseLogLines);
+    const served = lines.filter(({ name }) => name === "requestServed");
+    if (served.length === 0) {
+      this.context.stderr.write(
+        `no request in ${lines.length} log lines; name the logs of hosts that served callers\n`,
+      );
+      return EXIT_CODE.failure;
+    }
+    const counts = new Map<string, number>();
+    for (const line of served) {
+      const end = decideReportedEnd(line);
+      counts.set(end, (counts.get(end) ?? 0) + 1);
+    }
+    const hosts = new Set(lines.map(({ host }) => host)).size;
+    const ends = [...counts].map(([end, count]) => `${count} ${end}`).join(", ");
+    const summary = `${served.length} requests on ${hosts} hosts: ${ends}`;
+    try {
+      await writeFile(this.out, renderReport("Day by its logs", summary, buildCharts(lines)));
+    } catch (error) {
+      this.context.stderr.write(
+        `${this.out}: ${(error as Error).message}; name a file that can be written\n`,
+      );
+      return EXIT_CODE.usage;
+    }
+    this.context.stdout.write(`${summary}; written to ${this.out}\n`);
+    return EXIT_CODE.ok;
+  }
+}
--- a/packages/cli/src/trace/describe_cause.ts
+++ b/packages/cli/src/trace/describe_cause.ts
@@ -1,6 +1,6 @@
 import { EVENT_CATALOGUE } from "@crocussail/protocol";
 import type { EventName } from "@crocussail/protocol";
-import type { TraceLine } from "./trace_line.ts";
+import type { TraceLine } from "../common/trace_line.ts";
 
 /** Events that end or turn a request's way, the most telling first. */
 const CAUSES = ["answerCut", "ownAnswerSent", "callerLeft", "moveFailed", "requestRepeated"];
--- a/packages/cli/src/trace/select_trace.ts
+++ b/packages/cli/src/trace/select_trace.ts
@@ -1,4 +1,4 @@
-import type { TraceLine } from "./trace_line.ts";
+import type { TraceLine } from "../common/trace_line.ts";
 
 /** Events of the fleet that explain a request's way: they name an upstream or a dependency. */
 const UPSTREAM_EVENTS = new Set(["upstreamLeft", "upstreamLapsed", "upstreamJoined"]);
--- a/packages/cli/src/trace/trace_command.ts
+++ b/packages/cli/src/trace/trace_command.ts
@@ -3,9 +3,9 @@
 import { text as readText } from "node:stream/consumers";
 import { EXIT_CODE } from "../common/exit_code.ts";
 import { describeCause } from "./describe_cause.ts";
-import { parseLogLines } from "./parse_log_lines.ts";
+import { parseLogLines } from "../common/parse_log_lines.ts";
 import { selectTrace } from "./select_trace.ts";
-import type { TraceLine } from "./trace_line.ts";
+import type { TraceLine } from "../common/trace_line.ts";
 
 /** `crocussail trace`: the way of one request through the logs of several hosts. */
 export class TraceCommand extends Command {
--- a/packages/protocol/src/events/generation_events.ts
+++ b/packages/protocol/src/events/generation_events.ts
@@ -60,6 +60,6 @@
     number: 2009,
     level: "error",
     title: "Request was quarantined after crashing more than one upstream",
-    action: "Look at the request with the team named in the event",
+    action: "Find it in the lines of the upstreams that crashed before, and look at it with its team",
   },
 } as const satisfies Record<string, EventEntry>;
