--- a/packages/protocol/src/events/generation_events.ts
+++ b/packages/protocol/src/events/generation_events.ts
@@ -60,6 +60,7 @@
     number: 2009,
     level: "error",
     title: "Request was quarantined after crashing more than one upstream",
-    action: "Find it in the lines of the upstreams that crashed before, and look at it with its team",
+    action:
+      "Find it in the lines of the upstreams that crashed before, and look at it with its team",
   },
 } as const satisfies Record<string, EventEntry>;
