--- a/packages/daemon/src/forwarding/move_generation.ts
+++ b/packages/daemon/src/forwarding/move_generation.ts
@@ -25,7 +25,8 @@
   run.isMoving = true;
   try {
     const hasSwitched = await tryCopy(context, run);
-    const hasMoved = hasSwitched || await moveMemory(context, run);
+    const canMove = run.request.service.engine?.canMove === true;
+    const hasMoved = hasSwitched || (canMove && await moveMemory(context, run));
     const end = hasSwitched ? "fromCopy" : hasMoved ? "copied" : "failed";
     context.metrics.increment("forwarding.moves", 1, { end });
   } finally {
