Apply a changed settings file in one place, and name what needs a restart

The reload was in platform/main.ts without a test: applyReload takes new seeds at once, lists other changed values in gatewayReloaded, and keeps everything when the file is not valid.

--- a/packages/daemon/src/forwarding/move_generation.ts
+++ b/packages/daemon/src/forwarding/move_generation.ts
@@ -22,10 +22,13 @@
   if (run.isMoving || run.phase !== "running" || run.flight?.isReading !== false) {
     return;
   }
+  const canMove = run.request.service.engine?.canMove === true;
+  if (!canMove && findCopy(context, run) === undefined) {
+    return; // it stays with its engine to the end
+  }
   run.isMoving = true;
   try {
     const hasSwitched = await tryCopy(context, run);
-    const canMove = run.request.service.engine?.canMove === true;
     const hasMoved = hasSwitched || (canMove && await moveMemory(context, run));
     const end = hasSwitched ? "fromCopy" : hasMoved ? "copied" : "failed";
     context.metrics.increment("forwarding.moves", 1, { end });
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -38,4 +38,5 @@
 export type { Gateway } from "./create_gateway.ts";
 export type { GatewayConfig } from "./gateway_config_schema.ts";
 export type { GatewayOptions } from "./gateway_options.ts";
+export { applyReload } from "./apply_reload.ts";
 export { resolveGatewayConfig } from "./resolve_gateway_config.ts";
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -14,7 +14,7 @@
     number: 8003,
     level: "info",
     title: "Settings file read again",
-    action: "none",
+    action: "Restart the process for the values named in needsRestart",
   },
   gatewayReloadFailed: {
     number: 8004,
