--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -38,12 +38,6 @@
   maxMoveTargets: 4,
   /** Moves from one engine under way at this host; its link carries one after another. */
   maxMovesPerUpstream: 3,
-  /**
-   * Time between two looks for room, for each host of the fleet: another host hears of a placement
-   * some 15 ms later, and until then takes the same room. At 80 hosts, where a quarter of them waited,
-   * several took it at once and first events came up to 5 s late.
-   */
-  lineIntervalPerHostMs: 3,
   /** Waiting generations of this host; more are refused. */
   maxWaiting: 256,
 } as const;
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -7,7 +7,6 @@
 import type { Upstream } from "../upstreams/mod.ts";
 import type { CallerReply } from "./caller_reply.ts";
 import { checkRequest } from "./check_request.ts";
-import { computeLineInterval } from "./compute_line_interval.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createCallerReply } from "./create_caller_reply.ts";
@@ -52,7 +51,6 @@
   let running = 0;
   let heldBytes = 0;
   let timer: Timer | undefined;
-  let lineDueMs = 0;
 
   const moveNext = (upstreamId: string) => {
     const there = [...runs].filter((run) => run.upstream?.record.id === upstreamId);
@@ -108,10 +106,7 @@
       }
     }
     leaving.forEach(moveNext);
-    if (nowMs >= lineDueMs) {
-      lineDueMs = nowMs + computeLineInterval(context.countSpenders(), context.random);
-      line.update(nowMs);
-    }
+    line.update(nowMs);
     metrics.gauge("forwarding.running", running);
     metrics.gauge("forwarding.waiting", line.count());
     // Hosts that wait for the same room must not all look at the same moment.
