Draw among nearly equal engines in large fleets

Several hosts chose the same engine within 10 ms, before they heard of each other (three at a time, over and over, in the log of engine i-96131365ea); its memory was overcommitted and requests waited in it.

Change: above 20 hosts an engine is drawn among those that cost up to 0.2 (at 80 hosts) more than the least one.

--- a/bench/src/engines/engine_choices.ts
+++ b/bench/src/engines/engine_choices.ts
@@ -1,4 +1,4 @@
-import { BALANCING_LIMITS, chooseEngine } from "@crocussail/daemon/balancing";
+import { BALANCING_LIMITS, chooseEngine, computeNearCostShare } from "@crocussail/daemon/balancing";
 import type { EngineChoice } from "./engine_load_options.ts";
 
 const LIMITS = {
@@ -14,6 +14,7 @@
   daemon: (candidates, need) =>
     chooseEngine(candidates, {
       ...need,
+      nearCostShare: computeNearCostShare(need.hosts),
       limits: LIMITS,
       memoryShare: need.isMove ? 1 : BALANCING_LIMITS.plannedMemoryShare,
     }),
--- a/bench/src/engines/engine_load_options.ts
+++ b/bench/src/engines/engine_load_options.ts
@@ -1,3 +1,4 @@
+import type { RandomSource } from "@crocussail/protocol";
 import type { UpstreamCandidate } from "@crocussail/daemon/balancing";
 
 /** Picks an engine for a generation from what one host knows; undefined lets it wait. */
@@ -9,6 +10,8 @@
     readonly memoryTokens: number;
     readonly firstTokenMs: number;
     readonly isMove: boolean;
+    readonly hosts: number;
+    readonly random: RandomSource;
   },
 ) => UpstreamCandidate | undefined;
 
--- a/bench/src/engines/run_engine_load.ts
+++ b/bench/src/engines/run_engine_load.ts
@@ -54,6 +54,7 @@
 /** Plays a load on modelled engines with hosts that decide by themselves; nothing reads a clock. */
 export function runEngineLoad(options: EngineLoadOptions): EngineLoadFigures {
   const random = createSeededRandom(options.seed);
+  const choiceRandom = createSeededRandom(options.seed + 1);
   const hosts = Array.from({ length: options.hosts }, () => createLoadState());
   const requests: Request[] = [];
   const running = new Map<string, Request>();
@@ -128,6 +129,8 @@
       memoryTokens: estimateFlightTokens(size),
       firstTokenMs: isMove || leftMs <= 0 ? Number.POSITIVE_INFINITY : leftMs * 0.9,
       isMove,
+      hosts: options.hosts,
+      random: choiceRandom,
     });
     const engine = engines.find(({ id }) => id === chosen?.upstream.record.id);
     if (engine === undefined) {
--- a/packages/daemon/src/balancing/choose_engine.ts
+++ b/packages/daemon/src/balancing/choose_engine.ts
@@ -1,3 +1,4 @@
+import type { RandomSource } from "@crocussail/protocol";
 import type { EngineLimits } from "../routes/mod.ts";
 import { BALANCING_LIMITS } from "./constants.ts";
 import type { UpstreamCandidate } from "./upstream_candidate.ts";
@@ -15,6 +16,10 @@
   readonly firstTokenMs: number;
   /** Share of the memory up to which the engine may be filled. */
   readonly memoryShare: number;
+  /** Draws among engines of nearly equal cost. */
+  readonly random: RandomSource;
+  /** Share of the least cost by which an engine that is drawn may cost more. */
+  readonly nearCostShare: number;
   /** Data centre to prefer where the memory has to be moved; undefined where it has not. */
   readonly nearDataCentre?: string;
 }
@@ -22,24 +27,26 @@
 const FAR_COST_MS = 150; // a move between data centres takes twice as long
 
 /**
- * Chooses the engine with room that costs the generation and those beside it the least time;
+ * Chooses an engine with room that costs the generation and those beside it nearly the least time;
  * undefined when none has room. Answers load of long generations and short ones with long prompts on
- * engines of different speed: the long ones go to fast engines, the short ones where few are delayed.
+ * engines of different speed: the long ones go to fast engines, the short ones where few are delayed;
+ * and hosts that choose at the same moment, which do not all take the same engine.
  */
 export function chooseEngine(
   candidates: readonly UpstreamCandidate[],
   need: EngineNeed,
 ): UpstreamCandidate | undefined {
-  let best: UpstreamCandidate | undefined;
-  let bestCostMs = Number.POSITIVE_INFINITY;
-  for (const candidate of candidates) {
-    const costMs = computeCostMs(candidate, need);
-    if (costMs < bestCostMs) {
-      best = candidate;
-      bestCostMs = costMs;
-    }
+  const costs = candidates.map((candidate) => computeCostMs(candidate, need));
+  const leastMs = Math.min(...costs);
+  if (!Number.isFinite(leastMs)) {
+    return undefined;
   }
-  return best;
+  if (need.nearCostShare === 0) {
+    return candidates[costs.indexOf(leastMs)];
+  }
+  const limitMs = leastMs * (1 + need.nearCostShare);
+  const near = candidates.filter((_candidate, index) => (costs[index] ?? Infinity) <= limitMs);
+  return near[need.random.nextInteger(near.length)];
 }
 
 function computeCostMs({ upstream, load, conduct }: UpstreamCandidate, need: EngineNeed): number {
--- a/packages/daemon/src/balancing/constants.ts
+++ b/packages/daemon/src/balancing/constants.ts
@@ -26,6 +26,16 @@
   overrunShare: 0.35,
   /** Share of a generation's expected rest that is planned for; generations end at different times. */
   plannedRestShare: 0.6,
+  /**
+   * Costs above the least one, as a share of it, among which an engine is drawn at 80 hosts: several
+   * that choose within the 10 ms before they hear of each other must not all take the same one. At 8
+   * hosts the least cost alone served more at one and a half times the load (`bench:engines`).
+   */
+  nearCostShare: 0.2,
+  /** Fleets up to this size take the least cost. */
+  leastCostHosts: 20,
+  /** Fleet size at which the whole share is reached. */
+  nearCostHosts: 80,
   /** Factor on an upstream's rate while it is slow after its start. */
   slowStartFactor: 0.5,
 } as const;
--- a/packages/daemon/src/balancing/mod.ts
+++ b/packages/daemon/src/balancing/mod.ts
@@ -2,6 +2,7 @@
 export { chooseEngine } from "./choose_engine.ts";
 export type { EngineNeed } from "./choose_engine.ts";
 export { chooseServiceUpstream } from "./choose_service_upstream.ts";
+export { computeNearCostShare } from "./compute_near_cost_share.ts";
 export { BALANCING_LIMITS } from "./constants.ts";
 export { createLoadState } from "./create_load_state.ts";
 export { estimateFlightTokens } from "./estimate_flight_tokens.ts";
--- a/packages/daemon/src/forwarding/choose_generation_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_generation_upstream.ts
@@ -1,6 +1,7 @@
 import {
   BALANCING_LIMITS,
   chooseEngine,
+  computeNearCostShare,
   estimateFlightTokens,
   estimateRestTokens,
   listCandidates,
@@ -36,7 +37,7 @@
 
 /** Chooses an upstream for a generation or its memory; undefined when none has room. */
 export function chooseGenerationUpstream(
-  context: Pick<ForwardingContext, "upstreams" | "loads" | "clock">,
+  context: Pick<ForwardingContext, "upstreams" | "loads" | "clock" | "random" | "countSpenders">,
   choice: GenerationChoice,
 ): Upstream | undefined {
   const { request: { service }, purpose } = choice;
@@ -48,6 +49,8 @@
     .filter(({ record }) => !choice.excluded.has(record.id));
   const candidates = listCandidates(context.loads, usable, nowMs);
   return chooseEngine(candidates, {
+    random: context.random,
+    nearCostShare: computeNearCostShare(context.countSpenders()),
     limits: service.engine,
     readTokens: purpose === "begin" ? choice.flight.promptTokens : 0,
     outputTokens: purpose === "copy" ? 0 : estimateRestTokens(choice.flight),
