--- a/bench/src/fleet/settings_model_test.ts
+++ b/bench/src/fleet/settings_model_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createSettingsModel } from "./create_settings_model.ts";
-import type { SettingsModel } from "./create_settings_model.ts";
+import type { SettingsModel } from "./settings_model.ts";
 
 const DAEMONS = 400;
 const DATA_CENTRES = 8;
--- a/bench/src/fleet/settings_section.ts
+++ b/bench/src/fleet/settings_section.ts
@@ -6,7 +6,7 @@
 import { runInNewContext } from "node:vm";
 import type { BenchSection } from "./bench_section.ts";
 import { createSettingsModel } from "./create_settings_model.ts";
-import type { SettingsModel } from "./create_settings_model.ts";
+import type { SettingsModel } from "./settings_model.ts";
 
 const SIZES = [8, 50, 100, 200, 400];
 const DATA_CENTRES = 8;
--- /dev/null
+++ b/packages/daemon/src/forwarding/note_loss_test.ts
@@ -0,0 +1,73 @@
+import { expect } from "chai";
+import { applyUpstreamRecord, createUpstreamState } from "../upstreams/mod.ts";
+import type { UpstreamRecord } from "../upstreams/mod.ts";
+import { digestForwardedRequest } from "./digest_forwarded_request.ts";
+import { noteLoss } from "./note_loss.ts";
+
+const createRecord = (change: Partial<UpstreamRecord> = {}): UpstreamRecord => ({
+  id: "u1",
+  service: "desk",
+  address: "10.0.0.1:80",
+  dataCentre: "a",
+  slots: 4,
+  isLeaving: false,
+  slowForMs: 0,
+  startedAt: 1,
+  ...change,
+});
+
+describe("noteLoss", () => {
+  const lose = async (...records: readonly UpstreamRecord[]) => {
+    const upstreams = createUpstreamState();
+    const deaths: string[] = [];
+    const quarantine = {
+      isQuarantined: () => false,
+      noteEnd: () => {},
+      noteDeath: (upstream: string) => {
+        deaths.push(upstream);
+        return Promise.resolve();
+      },
+    };
+    for (const record of records) {
+      applyUpstreamRecord(upstreams, record, 0);
+      const upstream = upstreams.upstreams.get(record.id);
+      if (upstream !== undefined) {
+        await noteLoss({ quarantine, upstreams }, { fingerprint: "f" }, upstream);
+      }
+    }
+    return deaths;
+  };
+
+  it("blames a request for an upstream that was lost, by its start", async () => {
+    expect(await lose(createRecord(), createRecord({ startedAt: 2 })))
+      .to.deep.equal(["u1@1", "u1@2"]);
+  });
+
+  it("blames none for an upstream that leaves and takes its connections with it", async () => {
+    expect(await lose(createRecord({ isLeaving: true }))).to.deep.equal([]);
+  });
+});
+
+describe("digestForwardedRequest", () => {
+  const request = { team: "clerks", method: "POST", target: "/a", body: Buffer.from("b") };
+
+  it("is the same when a request comes again, also without a body", () => {
+    expect(digestForwardedRequest({ ...request })).to.equal(digestForwardedRequest(request));
+    const read = { ...request, method: "GET", body: undefined };
+    expect(digestForwardedRequest(read)).to.equal(digestForwardedRequest({ ...read }));
+  });
+
+  const others: readonly [string, Partial<typeof request> | { readonly team: undefined }][] = [
+    ["of another team", { team: "others" }],
+    ["of no team", { team: undefined }],
+    ["of another method", { method: "PUT" }],
+    ["of another target", { target: "/a?x=1" }],
+    ["of another body", { body: Buffer.from("c") }],
+  ];
+  for (const [title, change] of others) {
+    it(`differs for a request ${title}`, () => {
+      expect(digestForwardedRequest({ ...request, ...change }))
+        .not.to.equal(digestForwardedRequest(request));
+    });
+  }
+});
