Greet a host that starts again like a new one

Cause: a host that was down for over 10 s and started again under its name got no greeting, as it was known, and no regular reports, as it had not been heard: with 80 hosts it knew none after 400 ms (the new test) and met the others by the turn of addresses in its seeds' reports. Known is now told by its incarnation.

Also read in the same pass: a table of addresses at its bound would have greeted at every report; a regular report described the loads twice.

--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -57,14 +57,17 @@
   let peerTurn = 0;
   let greetingTimer: Timer | undefined;
   const strangers = new Set<string>();
+
   const receive = (datagram: Uint8Array) => {
     const report = decodeHostReport(datagram, options.fleetKey);
     if (report === undefined) {
       metrics.increment("hosts.rejected");
       return;
     }
-    const isNew = !state.hosts.has(report.host);
-    const named = report.peers.filter((address) => !state.addresses.has(address));
+    // A host that starts again knows its seeds only, as one that starts for the first time.
+    const isNew = state.hosts.get(report.host)?.report.incarnation !== report.incarnation;
+    const hasRoom = state.addresses.size < HOST_LIMITS.maxHosts;
+    const named = hasRoom ? report.peers.filter((address) => !state.addresses.has(address)) : [];
     const isOwn = report.peerAddress === options.peerAddress;
     if (isOwn || !applyHostReport(state, report, clock.readMonotonicMs())) {
       return;
@@ -84,12 +87,13 @@
   };
   const sendReport = (
     addresses: ReadonlySet<string>,
-    content: { readonly conduct: HostReport["conduct"]; readonly peers: readonly string[] },
+    content: { readonly isRegular: boolean; readonly peers: readonly string[] },
   ) => {
     sequence++;
+    const built = options.buildReport();
     const datagram = encodeHostReport({
-      ...options.buildReport(),
-      conduct: content.conduct,
+      ...built,
+      conduct: content.isRegular ? built.conduct : null,
       sequence,
       intervalMs,
       notices: notices.listReported(),
@@ -111,14 +115,14 @@
     silentTriedMs = isForSilent ? nowMs : silentTriedMs;
     const silent = isForSilent ? [...seeds, ...state.addresses.keys()] : [];
     sendReport(new Set([...heard, ...silent]), {
-      conduct: options.buildReport().conduct,
+      isRegular: true,
       peers: turn.slice(0, HOST_LIMITS.reportedPeers),
     });
   };
   const noteNews = () => {
     newsTimer ??= clock.startTimer(HOST_LIMITS.newsDelayMs, () => {
       newsTimer = undefined;
-      sendReport(new Set(listHeard()), { conduct: null, peers: [] });
+      sendReport(new Set(listHeard()), { isRegular: false, peers: [] });
     });
   };
   /** Tells hosts and addresses that are new here whom this host knows, so that all meet soon. */
@@ -127,7 +131,7 @@
     greetingTimer ??= clock.startTimer(HOST_LIMITS.newsDelayMs, () => {
       greetingTimer = undefined;
       const peers = listHeard().slice(-HOST_LIMITS.greetedPeers);
-      sendReport(strangers, { conduct: null, peers });
+      sendReport(strangers, { isRegular: false, peers });
       strangers.clear();
     });
   };
--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts_test.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts_test.ts
@@ -23,47 +23,51 @@
   const loads = new Map<number, HostReport["loads"]>();
   const seen = new Map<number, Map<string, HostReport>>();
   const hosts: FleetHosts[] = [];
+  const starts: ((incarnation: string) => FleetHosts)[] = [];
   const getAddress = (index: number) => `10.0.0.${index}:7200`;
   for (let index = 0; index < count; index++) {
     const reports = new Map<string, HostReport>();
     seen.set(index, reports);
-    hosts.push(createFleetHosts({
-      clock,
-      logger: LOGGER,
-      metrics: METRICS,
-      openSocket: (address, receive) => {
-        sockets.set(address, receive);
-        return Promise.resolve({
-          send: (target, datagram) => {
-            sent.datagrams++;
-            sent.bytes += datagram.length;
-            if (random.nextFloat() >= LOSS_SHARE) {
-              clock.startTimer(STEP_MS, () => sockets.get(target)?.(datagram));
-            }
-          },
-          close: () => sockets.delete(address),
-        });
-      },
-      host: `h${index}`,
-      peerAddress: getAddress(index),
-      fleetKey: "0123456789abcdef0123456789abcdef",
-      seeds: Array.from({ length: SEEDS }, (_, seed) => getAddress(seed)),
-      buildReport: () => ({
+    const start = (incarnation: string) =>
+      createFleetHosts({
+        clock,
+        logger: LOGGER,
+        metrics: METRICS,
+        openSocket: (address, receive) => {
+          sockets.set(address, receive);
+          return Promise.resolve({
+            send: (target, datagram) => {
+              sent.datagrams++;
+              sent.bytes += datagram.length;
+              if (random.nextFloat() >= LOSS_SHARE) {
+                clock.startTimer(STEP_MS, () => sockets.get(target)?.(datagram));
+              }
+            },
+            close: () => sockets.delete(address),
+          });
+        },
         host: `h${index}`,
-        incarnation: "i",
-        dataCentre: "a",
-        callerAddress: `10.0.0.${index}:80`,
         peerAddress: getAddress(index),
-        size: 1,
-        isReady: true,
-        isLeaving: false,
-        settingsRevision: 1,
-        loads: loads.get(index) ?? [],
-        conduct: Array.from({ length: 12 }, (_, upstream) => [`engine-${upstream}`, 5, 7, 0]),
-        leaving: [],
-      }),
-      applyReport: (report) => reports.set(report.host, report),
-    }));
+        fleetKey: "0123456789abcdef0123456789abcdef",
+        seeds: Array.from({ length: SEEDS }, (_, seed) => getAddress(seed)),
+        buildReport: () => ({
+          host: `h${index}`,
+          incarnation,
+          dataCentre: "a",
+          callerAddress: `10.0.0.${index}:80`,
+          peerAddress: getAddress(index),
+          size: 1,
+          isReady: true,
+          isLeaving: false,
+          settingsRevision: 1,
+          loads: loads.get(index) ?? [],
+          conduct: Array.from({ length: 12 }, (_, upstream) => [`engine-${upstream}`, 5, 7, 0]),
+          leaving: [],
+        }),
+        applyReport: (report) => reports.set(report.host, report),
+      });
+    starts.push(start);
+    hosts.push(start("i1"));
   }
   const run = async (ms: number) => {
     for (let elapsed = 0; elapsed < ms; elapsed += STEP_MS) {
@@ -73,7 +77,7 @@
   };
   await Promise.all(hosts.map((host) => host.start()));
   await run(MESH_MS);
-  return { hosts, sent, run, loads, seen };
+  return { hosts, starts, sent, run, loads, seen };
 }
 
 describe("a fleet of hosts", () => {
@@ -110,6 +114,20 @@
     });
   }
 
+  it("meets a host that starts again after a while at once, with 80 hosts", async () => {
+    const { hosts, starts, run } = await createFleet(80);
+    hosts[40]?.stop();
+    await run(15_000);
+    const again = starts[40]?.("i2") as FleetHosts;
+    await again.start();
+    await run(400);
+    expect(again.listLive().length).to.be.at.least(75); // 1 datagram in 100 is lost
+    const named = hosts.filter((host, index) =>
+      index !== 40 && host.listLive().some(({ incarnation }) => incarnation === "i2")
+    );
+    expect(named.length).to.be.at.least(75);
+  }).timeout(20_000);
+
   it("sends a bounded number of regular reports a host, also with 80 hosts", async () => {
     const { sent, run } = await createFleet(80);
     sent.datagrams = 0;
