Write the last log lines in order, and before the process ends

The first line is written in libuv's pool of threads; the flush at the end wrote the second one synchronously and overtook it, and process.exit would have lost the first.

The flush now waits for the write under way, 300 ms at most. The two tests that call it await it; their checks are as before.

--- a/packages/daemon/src/adapters/create_buffered_logger.ts
+++ b/packages/daemon/src/adapters/create_buffered_logger.ts
@@ -13,7 +13,8 @@
 
 /** A logger whose buffer can be written out before the process ends. */
 export interface BufferedLogger extends Logger {
-  flush(): void;
+  /** Resolves when every line has been written, or its reader has taken too long. */
+  flush(): Promise<void>;
 }
 
 /** A reader that stalls may cost this many bytes of memory; later lines are dropped and counted. */
@@ -21,6 +22,8 @@
 /** Lines of one event in a second; an 8-host fleet at twice its peak writes about 100 of requests. */
 const MAX_LINES_PER_EVENT = 200;
 const WINDOW_MS = 1_000;
+/** Time for the last lines; within the part of the grace that a leaving host keeps for its end. */
+const FLUSH_TIMEOUT_MS = 300;
 
 /** Creates a logger that writes JSON lines without ever blocking, each event bounded in a second. */
 export function createBufferedLogger(options: BufferedLoggerOptions): BufferedLogger {
@@ -34,6 +37,10 @@
   out.on("error", () => metrics.increment("log.dropped")); // the reader has gone; nowhere to say so
   const counts = new Map<string, number>();
   let windowStartMs = 0;
+  let isWriting = false;
+  out.on("drain", () => {
+    isWriting = false;
+  });
   return {
     writeEvent: (name, fields = {}) => {
       const nowMs = clock.readMonotonicMs();
@@ -50,14 +57,24 @@
       }
       const time = clock.readWallTime().toISOString();
       const line = { time, event: entry.number, name, level: entry.level, host, ...fields };
+      isWriting = true;
       out.write(`${JSON.stringify(line)}\n`);
     },
-    flush: () => {
-      try {
-        out.flushSync();
-      } catch {
-        metrics.increment("log.dropped"); // the pipe is full or closed while the process ends
-      }
-    },
+    // A synchronous flush would overtake the write that is under way in another thread.
+    flush: () =>
+      new Promise((resolve) => {
+        if (!isWriting) {
+          resolve();
+          return;
+        }
+        const timer = clock.startTimer(FLUSH_TIMEOUT_MS, () => {
+          metrics.increment("log.dropped"); // the reader has stalled or gone while the process ends
+          resolve();
+        });
+        out.once("drain", () => {
+          timer.cancel();
+          resolve();
+        });
+      }),
   };
 }
--- a/packages/daemon/src/adapters/create_buffered_logger_test.ts
+++ b/packages/daemon/src/adapters/create_buffered_logger_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { pbkdf2 } from "node:crypto";
 import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from "node:fs";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
@@ -6,6 +7,7 @@
 import { join } from "node:path";
 import { createManualClock } from "../common/create_manual_clock.ts";
 import { createBufferedLogger } from "./create_buffered_logger.ts";
+import { createSystemClock } from "./create_system_clock.ts";
 import type { Metrics } from "@crocussail/protocol";
 
 /** Counts what a logger reports as dropped. */
@@ -23,8 +25,14 @@
   };
 }
 
+/** Jobs that fill the pool of threads in which writes run as well. */
+const BUSY_JOBS = 16;
+const BUSY_ROUNDS = 20_000;
+const runBusyJob = () =>
+  new Promise<void>((resolve) => pbkdf2("a", "b", BUSY_ROUNDS, 64, "sha512", () => resolve()));
+
 describe("createBufferedLogger", () => {
-  it("writes one JSON line for each event", () => {
+  it("writes one JSON line for each event", async () => {
     const directory = mkdtempSync(join(tmpdir(), "log-"));
     const path = join(directory, "log");
     const descriptor = openSync(path, "a");
@@ -33,7 +41,7 @@
     const logger = createBufferedLogger({ clock, host: "h1", metrics, descriptor });
     logger.writeEvent("requestPlaced", { request: "r1", upstream: "u1" });
     logger.writeEvent("requestServed", { request: "r1", end: "answered" });
-    logger.flush();
+    await logger.flush();
     const lines = readFileSync(path, "utf8").trim().split("\n").map((line) => JSON.parse(line));
     expect(lines.map(({ event, host, request }) => [event, host, request])).to.deep.equal([
       [8010, "h1", "r1"],
@@ -44,7 +52,28 @@
     rmSync(directory, { recursive: true });
   });
 
-  it("bounds the lines of one event in a second, and not those of others", () => {
+  it("keeps lines in order, and loses none at the end, while the thread pool is busy", async () => {
+    const directory = mkdtempSync(join(tmpdir(), "log-"));
+    const path = join(directory, "log");
+    const descriptor = openSync(path, "a");
+    const metrics = createDropCounter();
+    const clock = createSystemClock();
+    const logger = createBufferedLogger({ clock, host: "h1", metrics, descriptor });
+    const busy = Array.from({ length: BUSY_JOBS }, () => runBusyJob());
+    logger.writeEvent("requestPlaced", { request: "r1" });
+    logger.writeEvent("requestServed", { request: "r1" });
+    await logger.flush();
+    logger.writeEvent("gatewayStopped", { running: 0 });
+    await logger.flush();
+    const lines = readFileSync(path, "utf8").trim().split("\n").map((line) => JSON.parse(line));
+    expect(lines.map(({ name }) => name))
+      .to.deep.equal(["requestPlaced", "requestServed", "gatewayStopped"]);
+    await Promise.all(busy);
+    closeSync(descriptor);
+    rmSync(directory, { recursive: true });
+  });
+
+  it("bounds the lines of one event in a second, and not those of others", async () => {
     const directory = mkdtempSync(join(tmpdir(), "log-"));
     const path = join(directory, "log");
     const descriptor = openSync(path, "a");
@@ -57,7 +86,7 @@
     logger.writeEvent("requestServed", { request: "r1" });
     clock.advance(1_000);
     logger.writeEvent("moveFailed", { request: "later" });
-    logger.flush();
+    await logger.flush();
     const text = readFileSync(path, "utf8");
     expect(text.match(/moveFailed/g)).to.have.length(201);
     expect(text).to.include("requestServed");
