Call a read's time limit by its name when its timer fired early

A timer that is set late in a turn of the event loop counts from the start of the turn (shown by setting one 20 ms into a turn), so the attempt ended more than 1 ms before the limit and the answer was called unknown.

--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -1,7 +1,7 @@
 import type { UpstreamExchange } from "../adapters/upstream_exchange.ts";
 import { chooseServiceUpstream, listCandidates, observeConduct } from "../balancing/mod.ts";
 import type { Flight } from "../balancing/mod.ts";
-import { decideRetry } from "../retries/mod.ts";
+import { decideRetry, RETRY_LIMITS } from "../retries/mod.ts";
 import type { RetryDecision } from "../retries/mod.ts";
 import { listUsableUpstreams } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
@@ -200,7 +200,9 @@
     reply.refuse("noUpstreamLeft", answer.reason, computeRetryAfter(context.random));
     return "notRun";
   }
-  const isLate = context.clock.readMonotonicMs() >= request.limitMs - 1;
+  // Timers of a busy process fire early: they count from the start of the turn that sets them.
+  const leftMs = request.limitMs - context.clock.readMonotonicMs();
+  const isLate = leftMs < RETRY_LIMITS.minLeftMs;
   reply.refuse(isLate ? "timeout" : "outcomeUnknown", answer.reason);
   return isLate ? "timeout" : "unknown";
 }
--- a/packages/daemon/src/retries/mod.ts
+++ b/packages/daemon/src/retries/mod.ts
@@ -1,6 +1,7 @@
 /** What may be sent again, and how often. @module */
 export type { AnswerHead } from "./answer_head.ts";
 export type { AttemptOutcome } from "./attempt_outcome.ts";
+export { RETRY_LIMITS } from "./constants.ts";
 export { countBudget } from "./count_budget.ts";
 export { decideOutcome } from "./decide_outcome.ts";
 export { decideRetry } from "./decide_retry.ts";
