--- a/packages/cli/src/report/report_command.ts
+++ b/packages/cli/src/report/report_command.ts
@@ -1,8 +1,7 @@
 import { Command, Option } from "clipanion";
-import { readFile, writeFile } from "node:fs/promises";
-import { text as readText } from "node:stream/consumers";
+import { writeFile } from "node:fs/promises";
 import { EXIT_CODE } from "../common/exit_code.ts";
-import { parseLogLines } from "../common/parse_log_lines.ts";
+import { readLogLines } from "../common/read_log_lines.ts";
 import { buildCharts } from "./build_charts.ts";
 import { decideReportedEnd } from "./decide_reported_end.ts";
 import { renderReport } from "./render_report.ts";
@@ -26,18 +25,10 @@
   files = Option.Rest({ name: "file" });
 
   override async execute(): Promise<number> {
-    const texts: string[] = [];
-    for (const file of this.files.length === 0 ? ["-"] : this.files) {
-      try {
-        texts.push(
-          file === "-" ? await readText(this.context.stdin) : await readFile(file, "utf8"),
-        );
-      } catch (error) {
-        this.context.stderr.write(`${file}: ${(error as Error).message}; name a log file or -\n`);
-        return EXIT_CODE.usage;
-      }
+    const lines = await readLogLines(this.files, this.context);
+    if (lines === undefined) {
+      return EXIT_CODE.usage;
     }
-    const lines = texts.flatMap(parseLogLines);
     const served = lines.filter(({ name }) => name === "requestServed");
     if (served.length === 0) {
       this.context.stderr.write(
--- a/packages/cli/src/trace/trace_command.ts
+++ b/packages/cli/src/trace/trace_command.ts
@@ -1,9 +1,7 @@
 import { Command, Option } from "clipanion";
-import { readFile } from "node:fs/promises";
-import { text as readText } from "node:stream/consumers";
 import { EXIT_CODE } from "../common/exit_code.ts";
 import { describeCause } from "./describe_cause.ts";
-import { parseLogLines } from "../common/parse_log_lines.ts";
+import { readLogLines } from "../common/read_log_lines.ts";
 import { selectTrace } from "./select_trace.ts";
 import type { TraceLine } from "../common/trace_line.ts";
 
@@ -28,18 +26,10 @@
   json = Option.Boolean("--json", false, { description: "Print JSON" });
 
   override async execute(): Promise<number> {
-    const texts: string[] = [];
-    for (const file of this.files.length === 0 ? ["-"] : this.files) {
-      try {
-        texts.push(
-          file === "-" ? await readText(this.context.stdin) : await readFile(file, "utf8"),
-        );
-      } catch (error) {
-        this.context.stderr.write(`${file}: ${(error as Error).message}; name a log file or -\n`);
-        return EXIT_CODE.usage;
-      }
+    const lines = await readLogLines(this.files, this.context);
+    if (lines === undefined) {
+      return EXIT_CODE.usage;
     }
-    const lines = texts.flatMap(parseLogLines);
     const trace = selectTrace(lines, this.requestId);
     if (trace.length === 0) {
       const known = `${lines.length} lines read`;
--- a/packages/daemon/src/adapters/create_buffered_logger_test.ts
+++ b/packages/daemon/src/adapters/create_buffered_logger_test.ts
@@ -32,11 +32,23 @@
   new Promise<void>((resolve) => pbkdf2("a", "b", BUSY_ROUNDS, 64, "sha512", () => resolve()));
 
 describe("createBufferedLogger", () => {
+  let directory: string;
+  let path: string;
+  let descriptor: number;
+  let metrics: ReturnType<typeof createDropCounter>;
+
+  beforeEach(() => {
+    directory = mkdtempSync(join(tmpdir(), "log-"));
+    path = join(directory, "log");
+    descriptor = openSync(path, "a");
+    metrics = createDropCounter();
+  });
+  afterEach(() => {
+    closeSync(descriptor);
+    rmSync(directory, { recursive: true });
+  });
+
   it("writes one JSON line for each event", async () => {
-    const directory = mkdtempSync(join(tmpdir(), "log-"));
-    const path = join(directory, "log");
-    const descriptor = openSync(path, "a");
-    const metrics = createDropCounter();
     const clock = createManualClock();
     const logger = createBufferedLogger({ clock, host: "h1", metrics, descriptor });
     logger.writeEvent("requestPlaced", { request: "r1", upstream: "u1" });
@@ -48,15 +60,9 @@
       [8012, "h1", "r1"],
     ]);
     expect(metrics.dropped).to.equal(0);
-    closeSync(descriptor);
-    rmSync(directory, { recursive: true });
   });
 
   it("keeps lines in order, and loses none at the end, while the thread pool is busy", async () => {
-    const directory = mkdtempSync(join(tmpdir(), "log-"));
-    const path = join(directory, "log");
-    const descriptor = openSync(path, "a");
-    const metrics = createDropCounter();
     const clock = createSystemClock();
     const logger = createBufferedLogger({ clock, host: "h1", metrics, descriptor });
     const busy = Array.from({ length: BUSY_JOBS }, () => runBusyJob());
@@ -69,15 +75,9 @@
     expect(lines.map(({ name }) => name))
       .to.deep.equal(["requestPlaced", "requestServed", "gatewayStopped"]);
     await Promise.all(busy);
-    closeSync(descriptor);
-    rmSync(directory, { recursive: true });
   });
 
   it("bounds the lines of one event in a second, and not those of others", async () => {
-    const directory = mkdtempSync(join(tmpdir(), "log-"));
-    const path = join(directory, "log");
-    const descriptor = openSync(path, "a");
-    const metrics = createDropCounter();
     const clock = createManualClock();
     const logger = createBufferedLogger({ clock, host: "h1", metrics, descriptor });
     for (let index = 0; index < 1_000; index++) {
@@ -91,8 +91,6 @@
     expect(text.match(/moveFailed/g)).to.have.length(201);
     expect(text).to.include("requestServed");
     expect(metrics.dropped).to.equal(800);
-    closeSync(descriptor);
-    rmSync(directory, { recursive: true });
   });
 
   it("never blocks nor grows when the reader stops, and counts what it drops", async () => {
@@ -101,7 +99,6 @@
     const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
     await new Promise<void>((resolve) => socket.once("connect", resolve));
     const { fd } = (socket as Socket & { _handle: { fd: number } })._handle;
-    const metrics = createDropCounter();
     const clock = createManualClock();
     const logger = createBufferedLogger({ clock, host: "h1", metrics, descriptor: fd });
     const startMs = performance.now();
--- a/packages/daemon/src/adapters/open_http_exchange.ts
+++ b/packages/daemon/src/adapters/open_http_exchange.ts
@@ -1,6 +1,7 @@
 import { connect } from "node:net";
 import { Client } from "undici";
 import type { Dispatcher } from "undici";
+import { splitAddress } from "../common/split_address.ts";
 import type { OpenUpstreamExchange } from "./upstream_exchange.ts";
 
 const LATIN1 = "latin1";
@@ -10,10 +11,7 @@
  * sends late or in excess can be taken for the answer to another request.
  */
 export const openHttpExchange: OpenUpstreamExchange = (request, handler) => {
-  const separator = request.address.lastIndexOf(":");
-  const host = request.address.slice(0, separator);
-  const port = Number(request.address.slice(separator + 1));
-  let controller: Dispatcher.DispatchController | undefined;
+  const { host, port } = splitAddress(request.address);
   let isSent = false;
   let isOver = false;
   // undici takes what came before a reset for the whole of a body without a length.
@@ -68,8 +66,7 @@
       body: request.body === undefined ? null : Buffer.from(request.body),
       reset: true,
     }, {
-      onRequestStart: (started) => {
-        controller = started;
+      onRequestStart: () => {
         isSent = true;
       },
       onResponseStart: (started, status, _headers, statusText) => {
@@ -98,7 +95,5 @@
   }
   return {
     abort: () => finish(() => {}),
-    pause: () => controller?.pause(),
-    resume: () => controller?.resume(),
   };
 };
--- a/packages/daemon/src/adapters/open_udp_socket.ts
+++ b/packages/daemon/src/adapters/open_udp_socket.ts
@@ -1,4 +1,5 @@
 import { createSocket } from "node:dgram";
+import { splitAddress } from "../common/split_address.ts";
 import type { OpenDatagramSocket } from "./datagram_socket.ts";
 
 /** Opens a UDP socket; resolves once it is bound. */
@@ -21,8 +22,3 @@
       });
     });
   });
-
-function splitAddress(address: string): { host: string; port: number } {
-  const separator = address.lastIndexOf(":");
-  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-}
--- a/packages/daemon/src/adapters/upstream_exchange.ts
+++ b/packages/daemon/src/adapters/upstream_exchange.ts
@@ -26,8 +26,6 @@
 export interface UpstreamExchange {
   /** Closes the connection; the handler hears nothing more. */
   abort(): void;
-  pause(): void;
-  resume(): void;
 }
 
 /** Opens an exchange; never throws. */
--- a/packages/daemon/src/balancing/compute_loads.ts
+++ b/packages/daemon/src/balancing/compute_loads.ts
@@ -1,3 +1,4 @@
+import { addLoad } from "./add_load.ts";
 import type { LoadState } from "./load_state.ts";
 import { computeOwnLoads } from "./compute_own_loads.ts";
 import type { UpstreamLoad } from "./upstream_load.ts";
@@ -9,14 +10,7 @@
     if (nowMs > expiresMs) {
       continue;
     }
-    for (const [id, load] of loads) {
-      const sum = total.get(id) ?? { flights: 0, memoryTokens: 0, readingTokens: 0 };
-      total.set(id, {
-        flights: sum.flights + load.flights,
-        memoryTokens: sum.memoryTokens + load.memoryTokens,
-        readingTokens: sum.readingTokens + load.readingTokens,
-      });
-    }
+    loads.forEach((load, id) => addLoad(total, id, load));
   }
   return total;
 }
--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -19,6 +19,8 @@
   forgetMs: 60_000,
   /** Addresses that are silent are tried at this interval. */
   silentAddressMs: 1_000,
+  /** Length of a datagram's signature; forging it needs 2^63 tries on average. */
+  signatureBytes: 8,
   /** Hosts that are remembered; further ones are left out. */
   maxHosts: 512,
   /** Peer addresses that a regular report carries, in turn. */
--- a/packages/daemon/src/fleet_hosts/decode_host_report.ts
+++ b/packages/daemon/src/fleet_hosts/decode_host_report.ts
@@ -1,5 +1,6 @@
 import { timingSafeEqual } from "node:crypto";
 import { unpack } from "msgpackr";
+import { HOST_LIMITS } from "./constants.ts";
 import { HOST_REPORT_FIELDS } from "./host_report_fields.ts";
 import { hostReportSchema } from "./host_report_schema.ts";
 import type { HostReport } from "./host_report_schema.ts";
@@ -7,10 +8,12 @@
 
 /** Reads a datagram; undefined when it is not signed with the fleet's key or not a report. */
 export function decodeHostReport(datagram: Uint8Array, key: string): HostReport | undefined {
-  const length = signDatagram(new Uint8Array(), key).length;
-  const body = datagram.subarray(length);
-  const signature = datagram.subarray(0, length);
-  if (signature.length !== length || !timingSafeEqual(signature, signDatagram(body, key))) {
+  const body = datagram.subarray(HOST_LIMITS.signatureBytes);
+  const signature = datagram.subarray(0, HOST_LIMITS.signatureBytes);
+  if (
+    signature.length !== HOST_LIMITS.signatureBytes ||
+    !timingSafeEqual(signature, signDatagram(body, key))
+  ) {
     return undefined;
   }
   const fields = decodeFields(body);
--- a/packages/daemon/src/forwarding/choose_generation_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_generation_upstream.ts
@@ -6,9 +6,8 @@
   estimateRestTokens,
   listCandidates,
 } from "../balancing/mod.ts";
-import type { Flight } from "../balancing/mod.ts";
+import type { Flight, UpstreamCandidate } from "../balancing/mod.ts";
 import { listUsableUpstreams } from "../upstreams/mod.ts";
-import type { Upstream } from "../upstreams/mod.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 
@@ -35,11 +34,11 @@
   move: 1, // a move saves what has been produced; a full engine preempts its newest work
 };
 
-/** Chooses an upstream for a generation or its memory; undefined when none has room. */
+/** Chooses an upstream for a generation or its memory, with its load; undefined when none has room. */
 export function chooseGenerationUpstream(
   context: Pick<ForwardingContext, "upstreams" | "loads" | "clock" | "random" | "countSpenders">,
   choice: GenerationChoice,
-): Upstream | undefined {
+): UpstreamCandidate | undefined {
   const { request: { service }, purpose } = choice;
   if (service.engine === undefined) {
     return undefined;
@@ -60,7 +59,7 @@
       ? computeFirstTokenMs(choice.request, nowMs)
       : Number.POSITIVE_INFINITY,
     ...(choice.nearDataCentre === undefined ? {} : { nearDataCentre: choice.nearDataCentre }),
-  })?.upstream;
+  });
 }
 
 /** Time in which the first token would still be in time; unbounded once the target has passed. */
--- a/packages/daemon/src/forwarding/create_waiting_line.ts
+++ b/packages/daemon/src/forwarding/create_waiting_line.ts
@@ -17,7 +17,6 @@
 export interface WaitingLine {
   /** Returns false when the line is full. */
   add(entry: WaitingEntry): boolean;
-  remove(entry: WaitingEntry): void;
   /**
    * Places at most one request that has room now, and gives up what has waited too long. One at a
    * time, so that the other hosts hear of it before this one takes more of the same room.
@@ -37,9 +36,6 @@
       entries.push(entry);
       return true;
     },
-    remove: (entry) => {
-      entries = entries.filter((other) => other !== entry);
-    },
     update: (nowMs) => {
       if (entries.length === 0) {
         return;
--- a/packages/daemon/src/forwarding/move_generation.ts
+++ b/packages/daemon/src/forwarding/move_generation.ts
@@ -68,7 +68,7 @@
       flight: run.flight,
       excluded: new Set([...excluded, source.record.id]),
       nearDataCentre: source.record.dataCentre,
-    });
+    })?.upstream;
     if (target === undefined) {
       excluded.clear(); // what failed once may work the next time
       await waitFor(context.clock, FORWARDING_LIMITS.moveRetryMs);
--- a/packages/daemon/src/forwarding/open_generation_exchange.ts
+++ b/packages/daemon/src/forwarding/open_generation_exchange.ts
@@ -3,20 +3,14 @@
 import { decideOutcome } from "../retries/mod.ts";
 import type { AnswerHead, AttemptOutcome } from "../retries/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
+import type { CollectedAnswer } from "./collect_answer.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 
 /** A whole answer that is no stream. */
-export interface GenerationRefusal {
+export interface GenerationRefusal extends CollectedAnswer {
   readonly outcome: Exclude<AttemptOutcome, "answered">;
-  readonly reason: string;
-  /** The connection ended before the first byte of an answer. */
-  readonly isLost: boolean;
-  readonly status: number;
-  readonly statusText: string;
-  readonly rawHeaders: readonly string[];
-  readonly body: Uint8Array;
 }
 
 /** Receives a generation's stream; `refuse` comes alone, `end` and `fail` after `begin`. */
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -55,7 +55,7 @@
       flight,
       excluded: new Set([upstream.record.id, old?.upstreamId ?? ""]),
       nearDataCentre: upstream.record.dataCentre,
-    })
+    })?.upstream
     : undefined;
   flight.copyUpstreamId = copyTo?.record.id;
   const former = run.stream;
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -1,6 +1,6 @@
-import { computeLoads, observeConduct } from "../balancing/mod.ts";
-import type { Flight } from "../balancing/mod.ts";
-import { decideRetry } from "../retries/mod.ts";
+import { observeConduct } from "../balancing/mod.ts";
+import type { Flight, UpstreamCandidate } from "../balancing/mod.ts";
+import { decideRetry, hasNotRun } from "../retries/mod.ts";
 import { listUsableUpstreams } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { checkBudget } from "./check_budget.ts";
@@ -77,13 +77,13 @@
     observeConduct(context.loads, { upstreamId: upstream.record.id, hasFailed: true });
     context.loads.flights.delete(request.requestId);
     context.noteLoadChange();
-    const hasNotRun = refusal.outcome === "notSent" || refusal.outcome === "refused";
-    unrunAttempts += Number(hasNotRun);
+    const isUnrun = hasNotRun(refusal.outcome);
+    unrunAttempts += Number(isUnrun);
     excluded.add(upstream.record.id);
     const decision = decideRetry({
       kind: request.route.kind,
       outcome: refusal.outcome,
-      ranAttempts: hasNotRun ? 0 : 1,
+      ranAttempts: isUnrun ? 0 : 1,
       unrunAttempts,
       maxAttempts: request.route.maxAttempts,
       hasBudget: budget.hasRoom(),
@@ -116,12 +116,11 @@
     run.restore(refusal.reason);
   };
 
-  const launch = (upstream: Upstream) => {
+  const launch = ({ upstream, load }: UpstreamCandidate) => {
     const nowMs = context.clock.readMonotonicMs();
     const { promptTokens, maxOutputTokens, expectedTokens } = request.head;
     const size = { promptTokens, maxOutputTokens, expectedTokens, producedTokens: 0 };
     const copyTo = chooseCopy(context, request, upstream, size);
-    const load = computeLoads(context.loads, nowMs).get(upstream.record.id);
     const flight: Flight = {
       requestId: request.requestId,
       upstreamId: upstream.record.id,
@@ -129,7 +128,7 @@
       ...size,
       isReading: true,
       placedMs: nowMs,
-      aheadTokens: load?.readingTokens ?? 0,
+      aheadTokens: load.readingTokens,
     };
     context.loads.flights.set(request.requestId, flight);
     context.noteLoadAdded();
@@ -145,8 +144,8 @@
       route: request.route.name,
       upstream: upstream.record.id,
       copy: copyTo?.record.id ?? "none",
-      running: load?.flights ?? 0,
-      memoryTokens: load?.memoryTokens ?? 0,
+      running: load.flights,
+      memoryTokens: load.memoryTokens,
       aheadTokens: flight.aheadTokens,
       waitedMs: Math.round(nowMs - request.arrivedMs),
       leftMs: Math.round(request.limitMs - nowMs),
@@ -165,16 +164,16 @@
       return true;
     }
     const { promptTokens, maxOutputTokens, expectedTokens } = request.head;
-    const upstream = chooseGenerationUpstream(context, {
+    const chosen = chooseGenerationUpstream(context, {
       request,
       purpose: "begin",
       flight: { promptTokens, maxOutputTokens, expectedTokens, producedTokens: 0 },
       excluded,
     });
-    if (upstream === undefined) {
+    if (chosen === undefined) {
       return false;
     }
-    launch(upstream);
+    launch(chosen);
     return true;
   };
 
@@ -241,5 +240,5 @@
     flight,
     excluded: new Set([upstream.record.id]),
     nearDataCentre: upstream.record.dataCentre,
-  });
+  })?.upstream;
 }
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -1,7 +1,7 @@
 import type { UpstreamExchange } from "../adapters/upstream_exchange.ts";
 import { chooseServiceUpstream, listCandidates, observeConduct } from "../balancing/mod.ts";
 import type { Flight } from "../balancing/mod.ts";
-import { decideRetry, RETRY_LIMITS } from "../retries/mod.ts";
+import { decideRetry, hasNotRun, RETRY_LIMITS } from "../retries/mod.ts";
 import type { RetryDecision } from "../retries/mod.ts";
 import { listUsableUpstreams } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
@@ -56,8 +56,7 @@
     } else if (answer.outcome === "answered") {
       context.quarantine.noteEnd(request.fingerprint, true);
     }
-    const hasNotRun = answer.outcome === "notSent" || answer.outcome === "refused";
-    hasNotRun ? unrunAttempts++ : ranAttempts++;
+    hasNotRun(answer.outcome) ? unrunAttempts++ : ranAttempts++;
     const leftMs = request.limitMs - clock.readMonotonicMs();
     const decision = decideRetry({
       kind: route.kind,
@@ -174,9 +173,9 @@
 function refuseUnplaced(
   context: ForwardingContext,
   request: ForwardedRequest,
-  hasNotRun: boolean,
+  isUnrun: boolean,
 ): string {
-  if (!hasNotRun) {
+  if (!isUnrun) {
     request.reply.refuse("outcomeUnknown", "no other upstream is left to try");
     return "unknown";
   }
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -3,6 +3,7 @@
 import type { PublishedSettings } from "../adapters/deployment_feed.ts";
 import { createLoadState } from "../balancing/mod.ts";
 import { rankByRendezvous } from "../common/rank_by_rendezvous.ts";
+import { splitAddress } from "../common/split_address.ts";
 import { chooseAddresses, createFleetHosts, HOST_LIMITS } from "../fleet_hosts/mod.ts";
 import type { HostReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
@@ -287,5 +288,5 @@
 }
 
 function listSeedAddresses(seeds: readonly string[], peerPort: number): string[] {
-  return seeds.map((seed) => `${seed.slice(0, seed.lastIndexOf(":"))}:${peerPort}`);
+  return seeds.map((seed) => `${splitAddress(seed).host}:${peerPort}`);
 }
--- a/packages/daemon/src/gateway/open_http_listener.ts
+++ b/packages/daemon/src/gateway/open_http_listener.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server, ServerOptions } from "node:http";
+import { splitAddress } from "../common/split_address.ts";
 
 /** Opens an HTTP listener at `ip:port`; rejects when the address cannot be taken. */
 export function openHttpListener(
@@ -7,11 +8,11 @@
   options: ServerOptions,
   handle: RequestListener,
 ): Promise<Server> {
-  const separator = address.lastIndexOf(":");
+  const { host, port } = splitAddress(address);
   const server = createServer(options, handle);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
-    server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), () => {
+    server.listen(port, host, () => {
       server.off("error", reject);
       resolve(server);
     });
--- a/packages/daemon/src/retries/decide_retry.ts
+++ b/packages/daemon/src/retries/decide_retry.ts
@@ -1,6 +1,7 @@
 import type { RequestKind } from "../routes/mod.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
 import { RETRY_LIMITS } from "./constants.ts";
+import { hasNotRun } from "./has_not_run.ts";
 
 /** What is known of a request after an attempt. */
 export interface AttemptHistory {
@@ -27,8 +28,8 @@
   if (outcome === "answered") {
     return "passOn";
   }
-  const hasNotRun = outcome === "notSent" || outcome === "refused";
-  const isAllowed = hasNotRun
+  const isUnrun = hasNotRun(outcome);
+  const isAllowed = isUnrun
     ? history.unrunAttempts < RETRY_LIMITS.maxUnrunAttempts
     : kind === "repeatable" && ranAttempts < history.maxAttempts;
   const isPaid = outcome === "notSent" || history.hasBudget;
@@ -38,5 +39,5 @@
   if (outcome === "failed") {
     return "passOn";
   }
-  return hasNotRun && ranAttempts === 0 ? "notRun" : "unknown";
+  return isUnrun && ranAttempts === 0 ? "notRun" : "unknown";
 }
