--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -1,7 +1,9 @@
 import { FORWARDING_LIMITS } from "./constants.ts";
+import { decideRestoreRetry } from "./decide_restore_retry.ts";
 import { findBackupCopy } from "./find_backup_copy.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
+import { getServiceBudget } from "./get_service_budget.ts";
 import { resumeGeneration } from "./resume_generation.ts";
 
 /**
@@ -13,24 +15,48 @@
   run: GenerationRun,
   reason: string,
 ): void {
-  const copy = findBackupCopy(context, run);
-  if (copy === undefined || context.quarantine.isQuarantined(run.request.fingerprint)) {
-    endInterrupted(context, run, reason);
-    return;
-  }
-  run.phase = "switching";
-  run.stream?.exchange?.abort();
-  resumeGeneration(context, run, {
-    ...copy,
-    way: "copy",
-    timeoutMs: FORWARDING_LIMITS.restoreTimeoutMs,
-    refuse: (resumeFailure) =>
-      endInterrupted(
-        context,
-        run,
-        `${reason}; resuming from the backup copy failed: ${resumeFailure}`,
-      ),
-  });
+  const startMs = context.clock.readMonotonicMs();
+  const budget = getServiceBudget(context, run.request.service.name);
+  const tryRestore = () => {
+    const copy = findBackupCopy(context, run);
+    if (copy === undefined || context.quarantine.isQuarantined(run.request.fingerprint)) {
+      endInterrupted(context, run, reason);
+      return;
+    }
+    run.phase = "switching";
+    run.stream?.exchange?.abort();
+    const elapsedMs = context.clock.readMonotonicMs() - startMs;
+    resumeGeneration(context, run, {
+      ...copy,
+      way: "copy",
+      timeoutMs: FORWARDING_LIMITS.restoreTimeoutMs - elapsedMs,
+      refuse: (resumeFailure, isUnexecuted) => {
+        const nowMs = context.clock.readMonotonicMs();
+        const isRetried = run.phase === "switching" && decideRestoreRetry({
+          isUnexecuted,
+          isUpstreamUsable: findBackupCopy(context, run)?.upstream.status === "ready",
+          elapsedMs: nowMs - startMs,
+          leftMs: run.request.deadlineAtMs - nowMs,
+          hasBudget: budget.hasRoom(),
+        });
+        if (!isRetried) {
+          endInterrupted(
+            context,
+            run,
+            `${reason}; resuming from the backup copy failed: ${resumeFailure}`,
+          );
+          return;
+        }
+        budget.countRetry();
+        context.clock.startTimer(FORWARDING_LIMITS.backupRetryMs, () => {
+          if (run.phase === "switching") {
+            tryRestore();
+          }
+        });
+      },
+    });
+  };
+  tryRestore();
 }
 
 function endInterrupted(context: ForwardingContext, run: GenerationRun, reason: string): void {
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -1,5 +1,6 @@
 import type { KvCacheSource } from "../adapters/deployment_dialect.ts";
 import type { InFlightRequest } from "../balancing/mod.ts";
+import { hasNotExecuted } from "../retries/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import { createGenerationStream } from "./create_generation_stream.ts";
@@ -20,8 +21,11 @@
   readonly timeoutMs: number;
   /** Called when the upstream resumes the generation. */
   readonly handleStart?: () => void;
-  /** Called when the generation is not resumed: the upstream did not start a stream in time. */
-  readonly refuse: (reason: string) => void;
+  /**
+   * Called when the generation is not resumed: the upstream did not start a stream in time.
+   * `isUnexecuted` states that the upstream certainly did not resume it.
+   */
+  readonly refuse: (reason: string, isUnexecuted: boolean) => void;
 }
 
 /**
@@ -62,7 +66,7 @@
   const stream = createGenerationStream();
   const timer = context.clock.startTimer(options.timeoutMs, () => {
     stream.exchange?.abort();
-    options.refuse("no response within the resume timeout");
+    options.refuse("no response within the resume timeout", false);
   });
   const relay = relayEvents(context, run, stream, (failure) => {
     timer.cancel();
@@ -70,7 +74,7 @@
     if (failure.isConnectionLost) {
       recordUpstreamLoss(context, request, upstream);
     }
-    options.refuse(failure.reason);
+    options.refuse(failure.reason, hasNotExecuted(failure.outcome));
   });
   const startMs = context.clock.readMonotonicMs();
   stream.exchange = openGenerationExchange(context, {
