Let two hosts read the upstreams for the fleet

Change: two hosts, the largest ones in different data centres, read each twentieth of the drain time and report joined and draining upstreams with the age of their read. Any other host reads itself only when it has heard nothing for half of the drain time (create_upstream_reading.ts), and keeps a watch of the settings open for 25 s, as reports contain the last revision.

--- a/packages/daemon/src/adapters/deployment_feed.ts
+++ b/packages/daemon/src/adapters/deployment_feed.ts
@@ -14,6 +14,10 @@
   applyUpstream(record: UpstreamRecord): void;
   /** Called when the record is deleted or no longer describes a usable upstream. */
   removeUpstream(id: string): void;
+  /** Called after a complete read that began at the given monotonic time, with all ids. */
+  applyUpstreamList(ids: ReadonlySet<string>, readAtMs: number): void;
+  /** Called when all changes of upstreams up to the given monotonic time have been applied. */
+  recordUpstreamsRead(readAtMs: number): void;
   /** Called when the settings service becomes available or unavailable. */
   recordAvailability(isAvailable: boolean, detail: string): void;
   /** Called when a published value is invalid; it is ignored. */
@@ -22,10 +26,12 @@
 
 /** Intervals of a feed in milliseconds; computed again for each read. */
 export interface FeedIntervals {
-  /** Delay between two reads of upstreams; a longer one batches more changes into one read. */
-  readonly computeReadInterval: () => number;
+  /** Time until the upstreams have to be read again; asked again while the feed waits. */
+  readonly computeReadDelay: () => number;
   /** Time after which a watch of the settings without changes ends and is started again. */
   readonly computeSettingsPollTimeout: () => number;
+  /** Longest pause between two attempts while the settings service does not respond. */
+  readonly maxBackoffMs: number;
 }
 
 /** Reads and watches the settings and upstreams that a deployment publishes. */
--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -65,8 +65,8 @@
    * the new host sends its report to the relays, which return the rest.
    */
   peersForNewHost: 24,
-  /** Time for which a draining upstream is reported; covers several lost reports. */
-  leavingReportMs: 3_000,
+  /** Time for which a joined or draining upstream is reported; covers several lost reports. */
+  upstreamReportMs: 3_000,
   /** Time for which a notice is reported; covers several lost reports. */
   noticeReportMs: 3_000,
   /** Largest number of notices in a report that a relay merged from several. */
--- a/packages/daemon/src/fleet_hosts/host_report_fields.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_fields.ts
@@ -15,9 +15,11 @@
   "settingsRevision",
   "knownHosts",
   "knownInDataCentre",
+  "upstreamsAgeMs",
   "loads",
   "conduct",
   "leaving",
+  "joined",
   "notices",
   "peers",
 ] as const satisfies readonly (keyof HostReport)[];
--- a/packages/daemon/src/fleet_hosts/host_report_schema.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_schema.ts
@@ -27,6 +27,11 @@
   /** Hosts that this host lists as live, itself included: in the fleet and in its data centre. */
   knownHosts: z.number().int().min(1),
   knownInDataCentre: z.number().int().min(1),
+  /**
+   * Milliseconds since this host read the changes of upstreams from the settings service, all of
+   * which its reports contain; null if it does not read them often.
+   */
+  upstreamsAgeMs: z.number().min(0).nullable(),
   /**
    * In-flight requests of this host by upstream: upstream id, number of requests, tokens in the KV
    * cache, prompt tokens being processed.
@@ -43,6 +48,19 @@
    * the upstream's record.
    */
   leaving: z.array(z.tuple([z.string(), z.number(), z.boolean()])).max(128),
+  /**
+   * Upstreams that have joined: id, service, address, data centre, slots, duration of the slow start
+   * in milliseconds, start.
+   */
+  joined: z.array(z.tuple([
+    z.string(),
+    z.string(),
+    z.string(),
+    z.string(),
+    z.number(),
+    z.number(),
+    z.number(),
+  ])).max(64),
   /** Notices for all hosts: topic, key, remaining lifetime in milliseconds, unvalidated payload. */
   notices: z.array(z.tuple([
     z.string().max(64),
--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -88,6 +88,8 @@
             (_, upstream) => [`engine-${upstream}`, 5, 7, 0],
           ),
           leaving: [],
+          upstreamsAgeMs: null,
+          joined: [],
         }),
         applyReport: ({ report }) => reports.set(report.host, report),
       });
--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -1,24 +1,33 @@
 /** Limits and intervals of a gateway. Times are in milliseconds. */
 export const GATEWAY_LIMITS = {
-  /** Number of hosts that read upstream changes often and report draining ones to the others. */
-  frequentReaders: 2,
-  /** Interval between reads at these hosts; in a fleet of 50, upstreams write 40 times a second. */
-  frequentReadIntervalMs: 100,
   /**
-   * Interval between reads at all other hosts, as a share of `drainMs`: within that time every host
-   * must know of a draining upstream.
+   * Interval between reads of the hosts that read upstream changes for the fleet, as a share of
+   * `drainMs`: a generation needs much of that time to move to another engine.
    */
-  readIntervalShareOfDrain: 0.6,
+  readerIntervalShareOfDrain: 0.05,
+  /**
+   * Age of what a host knows of the upstreams, as a share of `drainMs`, at which it reads them
+   * itself. The rest of the time is for the read.
+   */
+  maxAgeShareOfDrain: 0.5,
+  /** Time after its start in which a host does not read for the fleet: it discovers the others. */
+  readerSettleMs: 600,
+  /**
+   * Reports contain the changes of `upstreamReportMs`. They confirm what a host knows if they leave
+   * out no more than that time less this margin, for the time between a change and its read.
+   */
+  missedReportMarginMs: 700,
+  /** Maximum joined upstreams in a report; with more, every host reads for itself. */
+  maxJoinedUpstreams: 12,
+  /** Longest pause between attempts to reach the settings service, as a share of `drainMs`. */
+  maxBackoffShareOfDrain: 0.4,
   /**
    * Time after which a watch of the settings is restarted. It limits how long a dead connection
-   * hides a new version. A shorter time restarts watches more often; in a large fleet, some host
-   * already restarts its watch several times a second.
+   * hides a new version from a host that hears from no reader.
    */
   settingsPollTimeoutMs: 3_000,
-  /** In a larger fleet, the timeout is this time multiplied by the number of live hosts. */
-  settingsPollTimeoutPerHostMs: 125,
-  /** Upper bound of the timeout. */
-  maxSettingsPollTimeoutMs: 10_000,
+  /** The same time on a host that hears from readers, whose reports contain the last revision. */
+  confirmedPollTimeoutMs: 25_000,
   /** Time for which callers may cache a directory response, and so call a lost host. */
   directoryTtlMs: 2_000,
   /** Minimum drain time of a host, in which it serves callers that have cached its address. */
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -2,15 +2,18 @@
 import type { Server, ServerResponse } from "node:http";
 import type { PublishedSettings } from "../adapters/deployment_feed.ts";
 import { createLoadState } from "../balancing/mod.ts";
-import { rankByRendezvous } from "../common/rank_by_rendezvous.ts";
 import { splitAddress } from "../common/split_address.ts";
-import { chooseAddresses, createFleetHosts, HOST_LIMITS } from "../fleet_hosts/mod.ts";
+import { chooseAddresses, createFleetHosts } from "../fleet_hosts/mod.ts";
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
 import { createQuarantine } from "../quarantine/mod.ts";
+import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
+import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
+import { createUpstreamReading } from "./create_upstream_reading.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
 import { describeLoads } from "./describe_loads.ts";
+import { describeUpstreams } from "./describe_upstreams.ts";
 import { findPause } from "./find_pause.ts";
 import type { GatewayOptions } from "./gateway_options.ts";
 import { openHttpListener } from "./open_http_listener.ts";
@@ -39,6 +42,7 @@
   const servers: Server[] = [];
   let published: PublishedSettings | undefined;
   let isLeaving = false;
+  let isConfirmed = false;
   let timer: Timer | undefined;
   const readClocks = () => ({
     monotonicMs: clock.readMonotonicMs(),
@@ -46,6 +50,16 @@
   });
   let lastClocks = readClocks();
 
+  const localHost = {
+    host: config.host.name,
+    dataCentre: config.host.dataCentre,
+    size: config.host.size,
+  };
+  const reading = createUpstreamReading({
+    clock,
+    drainMs: config.upstreams.drainMs,
+    isChosen: () => chooseReaders([localHost, ...hosts.listLive()]).includes(localHost.host),
+  });
   const upstreams = createUpstreamView({
     clock,
     logger,
@@ -69,7 +83,7 @@
     isLeaving,
     settingsRevision: published?.revision ?? 0,
     ...describeLoads(loads, hosts.listLive().length + 1),
-    leaving: upstreams.listLeaving(HOST_LIMITS.leavingReportMs),
+    ...describeUpstreams(upstreams, reading),
   });
   const hosts = createFleetHosts({
     clock,
@@ -77,11 +91,7 @@
     logger,
     metrics,
     openSocket: options.openSocket,
-    localHost: {
-      host: config.host.name,
-      dataCentre: config.host.dataCentre,
-      size: config.host.size,
-    },
+    localHost,
     peerAddress,
     fleetKey: config.fleet.key,
     seeds: listSeedAddresses(config.peers.seeds, config.listen.peerPort),
@@ -89,13 +99,7 @@
     applyReport: ({ report, ageMs }) => {
       const sentAtMs = clock.readMonotonicMs() - ageMs;
       loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
-      for (const [id, startedAt, isAbsent] of report.leaving) {
-        // While the settings service is down, another host's report that a record is absent may be
-        // outdated, so it is ignored.
-        if (!isAbsent || !upstreams.state.isSettingsServiceDown) {
-          upstreams.markLeaving(id, startedAt, isAbsent, report.host);
-        }
-      }
+      applyReportedUpstreams(upstreams, reading, { report, ageMs });
       if (published !== undefined && report.settingsRevision > published.revision) {
         options.feed.refreshSettings();
       }
@@ -147,21 +151,6 @@
     hosts.scheduleReport();
   };
 
-  const computeReadInterval = () => {
-    const live = [config.host.name, ...hosts.listLive().map(({ host }) => host)];
-    const readers = rankByRendezvous("upstreams", live).slice(0, GATEWAY_LIMITS.frequentReaders);
-    return readers.includes(config.host.name)
-      ? GATEWAY_LIMITS.frequentReadIntervalMs
-      : config.upstreams.drainMs * GATEWAY_LIMITS.readIntervalShareOfDrain;
-  };
-
-  const computeSettingsPollTimeout = () => {
-    const fleetTimeoutMs = (hosts.listLive().length + 1) *
-      GATEWAY_LIMITS.settingsPollTimeoutPerHostMs;
-    const timeoutMs = Math.max(GATEWAY_LIMITS.settingsPollTimeoutMs, fleetTimeoutMs);
-    return Math.min(timeoutMs, GATEWAY_LIMITS.maxSettingsPollTimeoutMs);
-  };
-
   const answerDirectory = (target: string, response: ServerResponse) => {
     if (new URL(target, "http://directory").pathname !== directory.directoryPath) {
       response.writeHead(404).end();
@@ -226,6 +215,11 @@
       options.feed.refreshAll();
     }
     upstreams.tick();
+    const wasConfirmed = isConfirmed;
+    isConfirmed = reading.isConfirmed();
+    if (wasConfirmed && !isConfirmed) {
+      options.feed.refreshSettings(); // the running watch may wait for long on a dead connection
+    }
     for (const id of loads.conduct.keys()) {
       if (!upstreams.state.upstreams.has(id)) {
         loads.conduct.delete(id);
@@ -252,6 +246,8 @@
         applySettings,
         applyUpstream: upstreams.applyRecord,
         removeUpstream: upstreams.removeRecord,
+        applyUpstreamList: upstreams.applyList,
+        recordUpstreamsRead: reading.recordRead,
         recordAvailability: (isAvailable, detail) => {
           upstreams.recordServiceResponding(isAvailable);
           logger.writeEvent(isAvailable ? "settingsFeedRegained" : "settingsFeedLost", {
@@ -260,7 +256,14 @@
           });
         },
         rejectValue: (key, reason) => logger.writeEvent("publishedValueRejected", { key, reason }),
-      }, { computeReadInterval, computeSettingsPollTimeout });
+      }, {
+        computeReadDelay: reading.computeReadDelay,
+        computeSettingsPollTimeout: () =>
+          isConfirmed
+            ? GATEWAY_LIMITS.confirmedPollTimeoutMs
+            : GATEWAY_LIMITS.settingsPollTimeoutMs,
+        maxBackoffMs: config.upstreams.drainMs * GATEWAY_LIMITS.maxBackoffShareOfDrain,
+      });
       await openListeners();
       forwarder.start();
       tick();
--- /dev/null
+++ b/packages/daemon/src/gateway/create_upstream_reading.ts
@@ -0,0 +1,72 @@
+import type { Clock } from "@crocussail/protocol";
+import { HOST_LIMITS } from "../fleet_hosts/mod.ts";
+import type { AgedReport } from "../fleet_hosts/mod.ts";
+import { GATEWAY_LIMITS } from "./constants.ts";
+
+/** Options of {@link createUpstreamReading}. */
+export interface UpstreamReadingOptions {
+  readonly clock: Clock;
+  /** Time within which every host must know that an upstream drains, in milliseconds. */
+  readonly drainMs: number;
+  /** Whether this host is one of those that read for the fleet. */
+  readonly isChosen: () => boolean;
+}
+
+/** When this host has to read the upstreams from the settings service. */
+export interface UpstreamReading {
+  /** Records that this host read all changes up to the given monotonic time. */
+  recordRead(readAtMs: number): void;
+  /** Takes into account that another host reads for the fleet. */
+  acceptReport(received: AgedReport): void;
+  /** Computes the milliseconds until this host has to read again; 0 if it has to now. */
+  computeReadDelay(): number;
+  /** Whether this host knows all changes up to a short time ago, from whomever. */
+  isConfirmed(): boolean;
+  /** Age of what this host has read, if it reads for the fleet; null otherwise. */
+  computeReportedAge(): number | null;
+}
+
+/**
+ * Creates the decision. Two hosts read often and report the changes, which answers the load of a
+ * fleet in which every host reads for itself; any other host reads only when it has heard from no
+ * reader for half of the drain time. A report of a reader counts if no change can have been missed
+ * since the last one, as it contains the changes of a limited time.
+ */
+export function createUpstreamReading(options: UpstreamReadingOptions): UpstreamReading {
+  const { clock, drainMs } = options;
+  const startedAtMs = clock.readMonotonicMs();
+  let readAtMs = Number.NEGATIVE_INFINITY;
+  let confirmedAtMs = Number.NEGATIVE_INFINITY;
+
+  const computeAge = () => clock.readMonotonicMs() - Math.max(readAtMs, confirmedAtMs);
+  // Until a host knows the fleet, it would often consider itself a reader.
+  const isReader = () =>
+    clock.readMonotonicMs() - startedAtMs >= GATEWAY_LIMITS.readerSettleMs && options.isChosen();
+
+  return {
+    recordRead: (atMs) => {
+      readAtMs = Math.max(readAtMs, atMs);
+    },
+    acceptReport: ({ report, ageMs }) => {
+      if (report.upstreamsAgeMs === null) {
+        return;
+      }
+      const atMs = clock.readMonotonicMs() - ageMs - report.upstreamsAgeMs;
+      const gapMs = atMs - Math.max(readAtMs, confirmedAtMs);
+      if (gapMs <= HOST_LIMITS.upstreamReportMs - GATEWAY_LIMITS.missedReportMarginMs) {
+        confirmedAtMs = Math.max(confirmedAtMs, atMs);
+      }
+    },
+    computeReadDelay: () => {
+      const [ageMs, share] = isReader()
+        ? [clock.readMonotonicMs() - readAtMs, GATEWAY_LIMITS.readerIntervalShareOfDrain]
+        : [computeAge(), GATEWAY_LIMITS.maxAgeShareOfDrain];
+      return Math.max(0, drainMs * share - ageMs);
+    },
+    isConfirmed: () => computeAge() <= drainMs * GATEWAY_LIMITS.maxAgeShareOfDrain,
+    computeReportedAge: () => {
+      const ageMs = Math.round(clock.readMonotonicMs() - readAtMs);
+      return isReader() && ageMs <= HOST_LIMITS.upstreamReportMs ? ageMs : null;
+    },
+  };
+}
--- a/packages/daemon/src/gateway/create_upstream_view.ts
+++ b/packages/daemon/src/gateway/create_upstream_view.ts
@@ -1,9 +1,11 @@
 import type { Clock, Logger, Metrics } from "@crocussail/protocol";
 import {
+  applyJoinedRecord,
   applyUpstreamRecord,
   applyUpstreamRemoval,
   createUpstreamState,
   expireUpstreams,
+  listAbsentUpstreams,
   markUpstreamLeaving,
 } from "../upstreams/mod.ts";
 import type { Upstream, UpstreamRecord, UpstreamState } from "../upstreams/mod.ts";
@@ -25,6 +27,10 @@
   readonly state: UpstreamState;
   applyRecord(record: UpstreamRecord): void;
   removeRecord(id: string): void;
+  /** Removes the records that are missing from a complete list. */
+  applyList(publishedIds: ReadonlySet<string>, readAtMs: number): void;
+  /** Applies another host's report that an upstream has joined. */
+  applyJoined(record: UpstreamRecord): void;
   /** Applies another host's report that an upstream is draining. */
   markLeaving(id: string, startedAt: number, isAbsent: boolean, by: string): void;
   /** Records whether the settings service responds. */
@@ -35,6 +41,8 @@
    * drain only because their record is absent.
    */
   listLeaving(maxAgeMs: number): [string, number, boolean][];
+  /** Lists the records of upstreams that became ready up to `maxAgeMs` ago. */
+  listJoined(maxAgeMs: number): UpstreamRecord[];
 }
 
 /** Creates the table. Each change of an upstream's status is reported once. */
@@ -54,26 +62,31 @@
     });
     options.handleLeaving(upstream, isLocallyObserved);
   };
+  const applyWith = (apply: typeof applyUpstreamRecord, record: UpstreamRecord) => {
+    const before = state.upstreams.get(record.id);
+    const departed = apply(state, record, clock.readMonotonicMs());
+    const after = state.upstreams.get(record.id);
+    if (after?.status === "ready" && (before?.status !== "ready" || departed !== undefined)) {
+      const { id: upstream, service, address } = record;
+      logger.writeEvent("upstreamJoined", { upstream, service, address });
+    }
+    reportLeaving(departed, "record");
+  };
+  const removeRecord = (id: string) => {
+    const before = state.upstreams.get(id)?.status;
+    const departed = applyUpstreamRemoval(state, id, clock.readMonotonicMs());
+    if (state.upstreams.get(id)?.status === "lapsed" && before !== "lapsed") {
+      logger.writeEvent("upstreamLapsed", { upstream: id });
+    }
+    reportLeaving(departed, "removal");
+  };
   return {
     state,
-    applyRecord: (record) => {
-      const before = state.upstreams.get(record.id);
-      const departed = applyUpstreamRecord(state, record, clock.readMonotonicMs());
-      const after = state.upstreams.get(record.id);
-      if (after?.status === "ready" && (before?.status !== "ready" || departed !== undefined)) {
-        const { id: upstream, service, address } = record;
-        logger.writeEvent("upstreamJoined", { upstream, service, address });
-      }
-      reportLeaving(departed, "record");
-    },
-    removeRecord: (id) => {
-      const before = state.upstreams.get(id)?.status;
-      const departed = applyUpstreamRemoval(state, id, clock.readMonotonicMs());
-      if (state.upstreams.get(id)?.status === "lapsed" && before !== "lapsed") {
-        logger.writeEvent("upstreamLapsed", { upstream: id });
-      }
-      reportLeaving(departed, "removal");
-    },
+    applyRecord: (record) => applyWith(applyUpstreamRecord, record),
+    removeRecord,
+    applyList: (publishedIds, readAtMs) =>
+      listAbsentUpstreams(state, publishedIds, readAtMs).forEach(removeRecord),
+    applyJoined: (record) => applyWith(applyJoinedRecord, record),
     markLeaving: (id, startedAt, isAbsent, by) =>
       reportLeaving(
         markUpstreamLeaving(state, id, startedAt, isAbsent, clock.readMonotonicMs()),
@@ -96,6 +109,12 @@
         metrics.gauge("upstreams.known", count, { status });
       }
     },
+    listJoined: (maxAgeMs) => {
+      const nowMs = clock.readMonotonicMs();
+      return [...state.upstreams.values()]
+        .filter(({ status, sinceMs }) => status === "ready" && nowMs - sinceMs <= maxAgeMs)
+        .map(({ record }) => record);
+    },
     listLeaving: (maxAgeMs) => {
       const nowMs = clock.readMonotonicMs();
       return [...state.upstreams.values()]
--- a/packages/daemon/src/upstreams/upstream_state_test.ts
+++ b/packages/daemon/src/upstreams/upstream_state_test.ts
@@ -1,9 +1,11 @@
 import { expect } from "chai";
+import { applyJoinedRecord } from "./apply_joined_record.ts";
 import { applyUpstreamRecord } from "./apply_upstream_record.ts";
 import { applyUpstreamRemoval } from "./apply_upstream_removal.ts";
 import { UPSTREAM_LIMITS } from "./constants.ts";
 import { createUpstreamState } from "./create_upstream_state.ts";
 import { expireUpstreams } from "./expire_upstreams.ts";
+import { listAbsentUpstreams } from "./list_absent_upstreams.ts";
 import { listUsableUpstreams } from "./list_usable_upstreams.ts";
 import { markUpstreamUnreachable } from "./mark_upstream_unreachable.ts";
 import { markUpstreamLeaving } from "./mark_upstream_leaving.ts";
@@ -30,6 +32,24 @@
   const listIds = (state: ReturnType<typeof createWith>, nowMs = 0) =>
     listUsableUpstreams(state, "desk", nowMs).map(({ record }) => record.id);
 
+  it("learns a joined upstream from another host, but nothing that is older than what it knows", () => {
+    const state = createWith(createRecord({ startedAt: 2 }));
+    markUpstreamLeaving(state, "u1", 2, true, 5);
+    applyJoinedRecord(state, createRecord({ startedAt: 2 }), 10);
+    applyJoinedRecord(state, createRecord({ startedAt: 1 }), 10);
+    expect(listIds(state)).to.deep.equal([]);
+    applyJoinedRecord(state, createRecord({ id: "u2" }), 10);
+    expect(listIds(state)).to.deep.equal(["u2"]);
+    expect(applyJoinedRecord(state, createRecord({ startedAt: 3 }), 10)?.status).to.equal("gone");
+    expect(listIds(state)).to.have.members(["u1", "u2"]);
+  });
+
+  it("misses in a complete list only what was known before the read began", () => {
+    const state = createWith(createRecord(), createRecord({ id: "u2" }));
+    applyJoinedRecord(state, createRecord({ id: "u3" }), 20);
+    expect(listAbsentUpstreams(state, new Set(["u2"]), 10)).to.deep.equal(["u1"]);
+  });
+
   it("excludes an upstream that reports that it drains, and returns it once", () => {
     const state = createWith(createRecord(), createRecord({ id: "u2" }));
     const leaving = createRecord({ isLeaving: true });
