Multiply a host's size by the speed of its processor

Cause: the size was the share of a core alone, so hosts of 0.675 of a core of double speed counted as smaller than hosts of 0.81 of a core, for callers as for the choice of relays and readers.

--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -53,7 +53,7 @@
   const localHost = {
     host: config.host.name,
     dataCentre: config.host.dataCentre,
-    size: config.host.size,
+    size: config.host.size * config.host.speed,
   };
   const reading = createUpstreamReading({
     clock,
@@ -78,7 +78,7 @@
     dataCentre: config.host.dataCentre,
     callerAddress: config.listen.callers,
     peerAddress,
-    size: config.host.size,
+    size: localHost.size,
     isReady: isReady(),
     isLeaving,
     settingsRevision: published?.revision ?? 0,
--- a/packages/daemon/src/gateway/gateway_config_schema.ts
+++ b/packages/daemon/src/gateway/gateway_config_schema.ts
@@ -28,6 +28,8 @@
     address: z.ipv4(),
     /** Capacity relative to other hosts, for example the share of a core that it may use. */
     size: positiveSchema.prefault("1"),
+    /** Speed of its processor relative to other hosts; multiplies the size. */
+    speed: positiveSchema.prefault("1"),
   }),
   listen: z.strictObject({
     /** Receives callers' requests. */
--- a/packages/daemon/src/gateway/resolve_gateway_config_test.ts
+++ b/packages/daemon/src/gateway/resolve_gateway_config_test.ts
@@ -43,6 +43,7 @@
     const config = resolveGatewayConfig("d.ini", VALID).unsafeCoerce();
     expect(config.peers.seeds).to.have.length(2);
     expect(config.host.size).to.equal(0.675);
+    expect(config.host.speed).to.equal(1);
     expect(Object.isFrozen(config)).to.equal(true);
   });
 
