--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -2,9 +2,11 @@
 export const HOST_LIMITS = {
   /** Interval of regular reports in a small fleet. */
   reportIntervalMs: 250,
+  /** Minimum interval of regular reports in a large fleet, where relays send each of them on. */
+  relayedIntervalMs: 1_000,
   /**
    * Largest number of regular reports of the whole fleet per second; every host receives and decodes
-   * all of them. In a fleet of more than 50 hosts the interval grows accordingly.
+   * all of them. In a fleet of more than 200 hosts the interval grows accordingly.
    */
   regularReportsPerSecond: 200,
   /**
--- a/packages/daemon/src/gateway/choose_readers.ts
+++ b/packages/daemon/src/gateway/choose_readers.ts
@@ -8,8 +8,9 @@
 }
 
 /**
- * Chooses the two hosts that read the changes of upstreams for the fleet: the largest ones, in
- * different data centres where there are several, so that one fault rarely stops both.
+ * Chooses the two hosts that read the changes of upstreams for the fleet, the first of which reads
+ * more often: the largest ones, in different data centres where there are several, so that one
+ * fault rarely stops both.
  */
 export function chooseReaders(candidates: readonly ReaderCandidate[]): string[] {
   const byHost = new Map(candidates.map((candidate) => [candidate.host, candidate]));
--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -1,10 +1,11 @@
 /** Limits and intervals of a gateway. Times are in milliseconds. */
 export const GATEWAY_LIMITS = {
   /**
-   * Interval between reads of the hosts that read upstream changes for the fleet, as a share of
-   * `drainMs`: a generation needs much of that time to move to another engine.
+   * Intervals between reads of the two hosts that read upstream changes for the fleet, as shares of
+   * `drainMs`: a generation needs much of that time to move to another engine. The second host
+   * stands by.
    */
-  readerIntervalShareOfDrain: 0.05,
+  readerIntervalSharesOfDrain: [0.05, 0.25],
   /**
    * Age of what a host knows of the upstreams, as a share of `drainMs`, at which it reads them
    * itself. The rest of the time is for the read.
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -58,7 +58,7 @@
   const reading = createUpstreamReading({
     clock,
     drainMs: config.upstreams.drainMs,
-    isChosen: () => chooseReaders([localHost, ...hosts.listLive()]).includes(localHost.host),
+    getReaderRank: () => chooseReaders([localHost, ...hosts.listLive()]).indexOf(localHost.host),
   });
   const upstreams = createUpstreamView({
     clock,
--- a/packages/daemon/src/gateway/create_upstream_reading.ts
+++ b/packages/daemon/src/gateway/create_upstream_reading.ts
@@ -8,8 +8,8 @@
   readonly clock: Clock;
   /** Time within which every host must know that an upstream drains, in milliseconds. */
   readonly drainMs: number;
-  /** Whether this host is one of those that read for the fleet. */
-  readonly isChosen: () => boolean;
+  /** Returns this host's place among the hosts that read for the fleet, -1 if it is none. */
+  readonly getReaderRank: () => number;
 }
 
 /** When this host has to read the upstreams from the settings service. */
@@ -40,8 +40,10 @@
 
   const computeAge = () => clock.readMonotonicMs() - Math.max(readAtMs, confirmedAtMs);
   // Until a host knows the fleet, it would often consider itself a reader.
-  const isReader = () =>
-    clock.readMonotonicMs() - startedAtMs >= GATEWAY_LIMITS.readerSettleMs && options.isChosen();
+  const computeRank = () =>
+    clock.readMonotonicMs() - startedAtMs >= GATEWAY_LIMITS.readerSettleMs
+      ? options.getReaderRank()
+      : -1;
 
   return {
     recordRead: (atMs) => {
@@ -58,15 +60,15 @@
       }
     },
     computeReadDelay: () => {
-      const [ageMs, share] = isReader()
-        ? [clock.readMonotonicMs() - readAtMs, GATEWAY_LIMITS.readerIntervalShareOfDrain]
-        : [computeAge(), GATEWAY_LIMITS.maxAgeShareOfDrain];
-      return Math.max(0, drainMs * share - ageMs);
+      const share = GATEWAY_LIMITS.readerIntervalSharesOfDrain[computeRank()];
+      return share === undefined
+        ? Math.max(0, drainMs * GATEWAY_LIMITS.maxAgeShareOfDrain - computeAge())
+        : Math.max(0, drainMs * share - (clock.readMonotonicMs() - readAtMs));
     },
     isConfirmed: () => computeAge() <= drainMs * GATEWAY_LIMITS.maxAgeShareOfDrain,
     computeReportedAge: () => {
       const ageMs = Math.round(clock.readMonotonicMs() - readAtMs);
-      return isReader() && ageMs <= HOST_LIMITS.upstreamReportMs ? ageMs : null;
+      return computeRank() >= 0 && ageMs <= HOST_LIMITS.upstreamReportMs ? ageMs : null;
     },
   };
 }
