Let the second reader take over when the first one cannot read

Cause: a first reader that the settings service turns away stays live, and the second one reads a fifth as often; the others then hear of reads at most 2 s apart and read for themselves. Change: the second reader reads at the first one's rate when it has not heard from it for 0.35 of the drain time. Result: create_upstream_reading_test: only the second host reads while the first fails to.

--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -6,6 +6,11 @@
    * stands by.
    */
   readerIntervalSharesOfDrain: [0.05, 0.25],
+  /**
+   * Age of the first reader's last read, as a share of `drainMs`, at which the second one takes over
+   * its rate; the first may be unable to read while it is live.
+   */
+  silentReaderShareOfDrain: 0.35,
   /**
    * Time after which such a host reports, as a share of `drainMs`. Together with the time of a read
    * and of the report's way it must stay below `maxAgeShareOfDrain`.
--- a/packages/daemon/src/gateway/create_upstream_reading.ts
+++ b/packages/daemon/src/gateway/create_upstream_reading.ts
@@ -48,6 +48,15 @@
       ? options.getReaderRank()
       : -1;
 
+  /** The second reader takes over the rate of the first one when it does not hear from it. */
+  const computeReaderShare = () => {
+    const [firstShare, secondShare] = GATEWAY_LIMITS.readerIntervalSharesOfDrain;
+    const rank = computeRank();
+    const isAlone = clock.readMonotonicMs() - confirmedAtMs >
+      drainMs * GATEWAY_LIMITS.silentReaderShareOfDrain;
+    return rank < 0 ? undefined : rank === 0 || isAlone ? firstShare : secondShare;
+  };
+
   return {
     recordRead: (atMs) => {
       readAtMs = Math.max(readAtMs, atMs);
@@ -63,7 +72,7 @@
       }
     },
     computeReadDelay: () => {
-      const share = GATEWAY_LIMITS.readerIntervalSharesOfDrain[computeRank()];
+      const share = computeReaderShare();
       return share === undefined
         ? Math.max(0, drainMs * GATEWAY_LIMITS.maxAgeShareOfDrain - computeAge())
         : Math.max(0, drainMs * share - (clock.readMonotonicMs() - readAtMs));
--- a/packages/daemon/src/gateway/create_upstream_reading_test.ts
+++ b/packages/daemon/src/gateway/create_upstream_reading_test.ts
@@ -73,6 +73,17 @@
     expect(reads.get(1)).to.be.within(40, 80);
   });
 
+  it("leaves the reads to the second host when the first one fails to read", () => {
+    const { cut, reads, run, computeMaxAge } = createReadingFleet();
+    run(3_000);
+    cut.add(0);
+    run(1_000);
+    reads.clear();
+    run(10_000, () => expect(computeMaxAge()).to.be.at.most(DRAIN_MS / 2 + STEP_MS));
+    expect([...reads.keys()]).to.deep.equal([1]);
+    expect(reads.get(1)).to.be.within(70, 110);
+  });
+
   it("reads on every host, in time, when both readers are lost", () => {
     const { cut, reads, run, computeMaxAge } = createReadingFleet();
     run(5_000);
