Read the settings once for each revision that other hosts report

Cause: every report with a later revision than a host's own woke its back-off and read at once, so a host that the settings service turns away called it with each report of each other host. Change: a revision causes one read (create_revision_notices.ts); the feed repeats a failed one.

--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -10,6 +10,7 @@
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
+import { createRevisionNotices } from "./create_revision_notices.ts";
 import { createUpstreamReading } from "./create_upstream_reading.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
 import { describeLoads } from "./describe_loads.ts";
@@ -60,6 +61,10 @@
     drainMs: config.upstreams.drainMs,
     getReaderRank: () => chooseReaders([localHost, ...hosts.listLive()]).indexOf(localHost.host),
   });
+  const revisions = createRevisionNotices({
+    readRevision: () => published?.revision,
+    refreshSettings: () => options.feed.refreshSettings(),
+  });
   const upstreams = createUpstreamView({
     clock,
     logger,
@@ -100,9 +105,7 @@
       const sentAtMs = clock.readMonotonicMs() - ageMs;
       loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
       applyReportedUpstreams(upstreams, reading, { report, ageMs });
-      if (published !== undefined && report.settingsRevision > published.revision) {
-        options.feed.refreshSettings();
-      }
+      revisions.acceptRevision(report.settingsRevision);
     },
   });
   const quarantine = createQuarantine({
