Learn from readers that a missing record is back, and read alone around an outage

After an outage every host found the records missing and suspected the upstreams; their return was read only by the readers, whose reports changed nothing on a host that knew the same incarnation, so the others drained all of them, and told each other so.

--- a/packages/daemon/src/gateway/apply_reported_upstreams.ts
+++ b/packages/daemon/src/gateway/apply_reported_upstreams.ts
@@ -7,8 +7,10 @@
   upstreams: Pick<UpstreamView, "state" | "markLeaving" | "applyJoined">,
   reading: Pick<UpstreamReading, "acceptReport">,
   received: AgedReport,
+  nowMs: number,
 ): void {
-  const { report } = received;
+  const { report, ageMs } = received;
+  const readAtMs = nowMs - ageMs - (report.upstreamsAgeMs ?? 0);
   for (const [id, startedAt, isAbsent] of report.leaving) {
     // While the settings service is down, another host's report that a record is absent may be
     // outdated, so it is ignored.
@@ -26,7 +28,7 @@
       slowForMs,
       startedAt,
       isLeaving: false,
-    });
+    }, readAtMs);
   }
   reading.acceptReport(received);
 }
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -60,6 +60,7 @@
     clock,
     drainMs: config.upstreams.drainMs,
     getReaderRank: () => chooseReaders([localHost, ...hosts.listLive()]).indexOf(localHost.host),
+    isOutageRecent: () => upstreams.isOutageRecent(),
   });
   const revisions = createRevisionNotices({
     readRevision: () => published?.revision,
@@ -104,7 +105,7 @@
     applyReport: ({ report, ageMs }) => {
       const sentAtMs = clock.readMonotonicMs() - ageMs;
       loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
-      applyReportedUpstreams(upstreams, reading, { report, ageMs });
+      applyReportedUpstreams(upstreams, reading, { report, ageMs }, clock.readMonotonicMs());
       revisions.acceptRevision(report.settingsRevision);
     },
   });
--- a/packages/daemon/src/gateway/create_upstream_reading.ts
+++ b/packages/daemon/src/gateway/create_upstream_reading.ts
@@ -10,6 +10,8 @@
   readonly drainMs: number;
   /** Returns this host's place among the hosts that read for the fleet, -1 if it is none. */
   readonly getReaderRank: () => number;
+  /** Whether records may be missing that return soon; then every host reads for itself. */
+  readonly isOutageRecent: () => boolean;
 }
 
 /** When this host has to read the upstreams from the settings service. */
@@ -41,7 +43,9 @@
   let confirmedAtMs = Number.NEGATIVE_INFINITY;
   let reportedAtMs = Number.NEGATIVE_INFINITY;
 
-  const computeAge = () => clock.readMonotonicMs() - Math.max(readAtMs, confirmedAtMs);
+  const computeAge = () =>
+    clock.readMonotonicMs() -
+    (options.isOutageRecent() ? readAtMs : Math.max(readAtMs, confirmedAtMs));
   // Until a host knows the fleet, it would often consider itself a reader.
   const computeRank = () =>
     clock.readMonotonicMs() - startedAtMs >= GATEWAY_LIMITS.readerSettleMs
--- a/packages/daemon/src/gateway/create_upstream_reading_test.ts
+++ b/packages/daemon/src/gateway/create_upstream_reading_test.ts
@@ -22,6 +22,7 @@
         clock,
         drainMs: DRAIN_MS,
         getReaderRank: () => index < 2 ? index : -1,
+        isOutageRecent: () => false,
       }),
   );
   const report = (from: number) => {
@@ -107,16 +108,43 @@
 
   it("does not accept a report that follows a longer gap than reports cover", () => {
     const clock = createManualClock();
-    const host = createUpstreamReading({ clock, drainMs: DRAIN_MS, getReaderRank: () => -1 });
+    const host = createUpstreamReading({
+      clock,
+      drainMs: DRAIN_MS,
+      getReaderRank: () => -1,
+      isOutageRecent: () => false,
+    });
     host.recordRead(0);
     clock.advance(2_400);
     host.acceptReport({ report: { upstreamsAgeMs: 0 } as HostReport, ageMs: 0 });
     expect(host.computeReadDelay()).to.equal(0);
   });
 
+  it("reads on every host while records may be missing that return soon", () => {
+    const clock = createManualClock();
+    let isOutageRecent = true;
+    const host = createUpstreamReading({
+      clock,
+      drainMs: DRAIN_MS,
+      getReaderRank: () => -1,
+      isOutageRecent: () => isOutageRecent,
+    });
+    host.recordRead(0);
+    clock.advance(DRAIN_MS / 2);
+    host.acceptReport({ report: { upstreamsAgeMs: 0 } as HostReport, ageMs: 0 });
+    expect(host.computeReadDelay()).to.equal(0);
+    isOutageRecent = false;
+    expect(host.computeReadDelay()).to.be.above(0);
+  });
+
   it("does not read for the fleet before it can know the other hosts", () => {
     const clock = createManualClock();
-    const host = createUpstreamReading({ clock, drainMs: DRAIN_MS, getReaderRank: () => 0 });
+    const host = createUpstreamReading({
+      clock,
+      drainMs: DRAIN_MS,
+      getReaderRank: () => 0,
+      isOutageRecent: () => false,
+    });
     host.recordRead(0);
     clock.advance(400);
     expect(host.computeReadDelay()).to.be.above(500);
--- a/packages/daemon/src/gateway/create_upstream_view.ts
+++ b/packages/daemon/src/gateway/create_upstream_view.ts
@@ -7,6 +7,7 @@
   expireUpstreams,
   listAbsentUpstreams,
   markUpstreamLeaving,
+  UPSTREAM_LIMITS,
 } from "../upstreams/mod.ts";
 import type { Upstream, UpstreamRecord, UpstreamState } from "../upstreams/mod.ts";
 
@@ -29,8 +30,10 @@
   removeRecord(id: string): void;
   /** Removes the records that are missing from a complete list. */
   applyList(publishedIds: ReadonlySet<string>, readAtMs: number): void;
-  /** Applies another host's report that an upstream has joined. */
-  applyJoined(record: UpstreamRecord): void;
+  /** Applies another host's report that an upstream has joined, as that host read at `readAtMs`. */
+  applyJoined(record: UpstreamRecord, readAtMs: number): void;
+  /** Whether the settings service does not respond, or missing records may still return. */
+  isOutageRecent(): boolean;
   /** Applies another host's report that an upstream is draining. */
   markLeaving(id: string, startedAt: number, isAbsent: boolean, by: string): void;
   /** Records whether the settings service responds. */
@@ -62,9 +65,12 @@
     });
     options.handleLeaving(upstream, isLocallyObserved);
   };
-  const applyWith = (apply: typeof applyUpstreamRecord, record: UpstreamRecord) => {
+  const applyWith = (
+    record: UpstreamRecord,
+    apply: (nowMs: number) => Upstream | undefined,
+  ) => {
     const before = state.upstreams.get(record.id);
-    const departed = apply(state, record, clock.readMonotonicMs());
+    const departed = apply(clock.readMonotonicMs());
     const after = state.upstreams.get(record.id);
     if (after?.status === "ready" && (before?.status !== "ready" || departed !== undefined)) {
       const { id: upstream, service, address } = record;
@@ -82,11 +88,16 @@
   };
   return {
     state,
-    applyRecord: (record) => applyWith(applyUpstreamRecord, record),
+    applyRecord: (record) =>
+      applyWith(record, (nowMs) => applyUpstreamRecord(state, record, nowMs)),
     removeRecord,
     applyList: (publishedIds, readAtMs) =>
       listAbsentUpstreams(state, publishedIds, readAtMs).forEach(removeRecord),
-    applyJoined: (record) => applyWith(applyJoinedRecord, record),
+    applyJoined: (record, readAtMs) =>
+      applyWith(record, (nowMs) => applyJoinedRecord(state, record, readAtMs, nowMs)),
+    isOutageRecent: () =>
+      state.isSettingsServiceDown ||
+      clock.readMonotonicMs() - state.lastOutageAtMs <= 2 * UPSTREAM_LIMITS.lapseGraceMs,
     markLeaving: (id, startedAt, isAbsent, by) =>
       reportLeaving(
         markUpstreamLeaving(state, id, startedAt, isAbsent, clock.readMonotonicMs()),
--- a/packages/daemon/src/upstreams/mod.ts
+++ b/packages/daemon/src/upstreams/mod.ts
@@ -2,6 +2,7 @@
 export { applyJoinedRecord } from "./apply_joined_record.ts";
 export { applyUpstreamRecord } from "./apply_upstream_record.ts";
 export { applyUpstreamRemoval } from "./apply_upstream_removal.ts";
+export { UPSTREAM_LIMITS } from "./constants.ts";
 export { createUpstreamState } from "./create_upstream_state.ts";
 export { expireUpstreams } from "./expire_upstreams.ts";
 export { isUpstreamReachable } from "./is_upstream_reachable.ts";
--- a/packages/daemon/src/upstreams/upstream_state_test.ts
+++ b/packages/daemon/src/upstreams/upstream_state_test.ts
@@ -34,19 +34,39 @@
 
   it("learns a joined upstream from another host, but nothing that is older than what it knows", () => {
     const state = createWith(createRecord({ startedAt: 2 }));
-    markUpstreamLeaving(state, "u1", 2, true, 5);
-    applyJoinedRecord(state, createRecord({ startedAt: 2 }), 10);
-    applyJoinedRecord(state, createRecord({ startedAt: 1 }), 10);
+    applyUpstreamRecord(state, createRecord({ startedAt: 2, isLeaving: true }), 5);
+    applyJoinedRecord(state, createRecord({ startedAt: 2 }), 10, 10);
+    applyJoinedRecord(state, createRecord({ startedAt: 1 }), 10, 10);
     expect(listIds(state)).to.deep.equal([]);
-    applyJoinedRecord(state, createRecord({ id: "u2" }), 10);
+    applyJoinedRecord(state, createRecord({ id: "u2" }), 10, 10);
     expect(listIds(state)).to.deep.equal(["u2"]);
-    expect(applyJoinedRecord(state, createRecord({ startedAt: 3 }), 10)?.status).to.equal("gone");
+    const former = applyJoinedRecord(state, createRecord({ startedAt: 3 }), 10, 10);
+    expect(former?.status).to.equal("gone");
     expect(listIds(state)).to.have.members(["u1", "u2"]);
   });
 
+  it("learns from another host that a missing record is back, if that was read later", () => {
+    const state = createWith(
+      createRecord(),
+      createRecord({ id: "u2" }),
+      createRecord({ id: "u3" }),
+    );
+    markUpstreamLeaving(state, "u1", 1, true, 20);
+    state.isSettingsServiceDown = true;
+    applyUpstreamRemoval(state, "u2", 20);
+    for (const id of ["u1", "u2"]) {
+      applyJoinedRecord(state, createRecord({ id }), 19, 25);
+    }
+    expect(listIds(state)).to.deep.equal(["u3"]);
+    for (const id of ["u1", "u2"]) {
+      applyJoinedRecord(state, createRecord({ id }), 21, 25);
+    }
+    expect(listIds(state)).to.have.members(["u1", "u2", "u3"]);
+  });
+
   it("misses in a complete list only what was known before the read began", () => {
     const state = createWith(createRecord(), createRecord({ id: "u2" }));
-    applyJoinedRecord(state, createRecord({ id: "u3" }), 20);
+    applyJoinedRecord(state, createRecord({ id: "u3" }), 20, 20);
     expect(listAbsentUpstreams(state, new Set(["u2"]), 10)).to.deep.equal(["u1"]);
   });
 
