Halve the reports of fleets of over 100 hosts, and check less often when idle

Change: at most 100 regular reports a second in the fleet; a relay sends a batch each 100 ms at most under load; the place among the readers is computed at the gateway's tick; the forwarder checks each 500 ms while no generation runs.

--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -6,9 +6,9 @@
   relayedIntervalMs: 1_000,
   /**
    * Largest number of regular reports of the whole fleet per second; every host receives and decodes
-   * all of them. In a fleet of more than 200 hosts the interval grows accordingly.
+   * all of them. In a fleet of more than 100 hosts the interval grows accordingly.
    */
-  regularReportsPerSecond: 200,
+  regularReportsPerSecond: 100,
   /**
    * Largest number of other hosts to which a host sends its reports itself. In a larger fleet it
    * sends them to the relays of its data centre: with 80 hosts, 316 datagrams per second used 7% of a
@@ -22,7 +22,7 @@
   /** Delay in which a relay collects regular reports. */
   regularRelayMs: 100,
   /** Minimum interval between two batches of a relay. */
-  minRelayIntervalMs: 40,
+  minRelayIntervalMs: 100,
   /**
    * Time after which the next relay forwards a report that no other relay has forwarded. It exceeds
    * the delay and the interval of the first relay and two transfers between data centres.
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -14,6 +14,8 @@
   firstAttemptTargetFactor: 3,
   /** Mean interval between checks of running requests for missing events and deadlines. */
   tickMs: 50,
+  /** The same interval while no generation runs or waits, as on most hosts of a large fleet. */
+  idleTickMs: 500,
   /**
    * Time without an event after which a running generation resumes from its backup copy; far above
    * the pauses that the prefill of other prompts causes.
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -51,6 +51,7 @@
   let running = 0;
   let bufferedBytes = 0;
   let timer: Timer | undefined;
+  let isIdle = false;
 
   const migrateNext = (upstreamId: string) => {
     const affected = [...runs].filter((run) => run.upstream?.record.id === upstreamId);
@@ -122,7 +123,16 @@
     metrics.gauge("forwarding.waiting", waitQueue.count());
     // The jitter keeps hosts that wait for the same capacity from all checking at the same time.
     const delayMs = FORWARDING_LIMITS.tickMs * (MIN_TICK_SHARE + context.random.nextFloat());
-    timer = clock.startTimer(delayMs, tick);
+    isIdle = runs.size === 0;
+    timer = clock.startTimer(isIdle ? FORWARDING_LIMITS.idleTickMs : delayMs, tick);
+  };
+  /** Returns to the short interval, for the first generation after an idle time. */
+  const endIdleTime = () => {
+    if (isIdle) {
+      isIdle = false;
+      timer?.cancel();
+      timer = clock.startTimer(FORWARDING_LIMITS.tickMs, tick);
+    }
   };
 
   const recordEnd = (
@@ -165,6 +175,7 @@
       });
       if (run.phase !== "ended") {
         runs.add(run);
+        endIdleTime();
       }
       return;
     }
--- a/packages/daemon/src/gateway/choose_readers.ts
+++ b/packages/daemon/src/gateway/choose_readers.ts
@@ -11,10 +11,20 @@
  * fault rarely stops both.
  */
 export function chooseReaders(candidates: readonly ReaderCandidate[]): string[] {
-  const ranked = [...candidates].sort((left, right) =>
-    right.size - left.size || (left.host < right.host ? -1 : 1)
-  );
-  const first = ranked[0];
-  const second = ranked.find(({ dataCentre }) => dataCentre !== first?.dataCentre) ?? ranked[1];
+  const first = findLargest(candidates);
+  const others = candidates.filter(({ host }) => host !== first?.host);
+  const second = findLargest(others.filter(({ dataCentre }) => dataCentre !== first?.dataCentre)) ??
+    findLargest(others);
   return [first, second].flatMap((reader) => reader === undefined ? [] : [reader.host]);
 }
+
+/** Finds the largest host; of hosts of one size, the one whose name is first. */
+function findLargest(candidates: readonly ReaderCandidate[]): ReaderCandidate | undefined {
+  let largest: ReaderCandidate | undefined;
+  for (const candidate of candidates) {
+    const isBefore = largest === undefined || candidate.size > largest.size ||
+      (candidate.size === largest.size && candidate.host < largest.host);
+    largest = isBefore ? candidate : largest;
+  }
+  return largest;
+}
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -44,6 +44,7 @@
   let published: PublishedSettings | undefined;
   let isLeaving = false;
   let isConfirmed = false;
+  let readerRank = -1;
   let timer: Timer | undefined;
   const readClocks = () => ({
     monotonicMs: clock.readMonotonicMs(),
@@ -59,7 +60,7 @@
   const reading = createUpstreamReading({
     clock,
     drainMs: config.upstreams.drainMs,
-    getReaderRank: () => chooseReaders([localHost, ...hosts.listLive()]).indexOf(localHost.host),
+    getReaderRank: () => readerRank,
     isOutageRecent: () => upstreams.isOutageRecent(),
   });
   const revisions = createRevisionNotices({
@@ -219,6 +220,7 @@
       options.feed.refreshAll();
     }
     upstreams.tick();
+    readerRank = chooseReaders([localHost, ...hosts.listLive()]).indexOf(localHost.host);
     const wasConfirmed = isConfirmed;
     isConfirmed = reading.isConfirmed();
     if (wasConfirmed && !isConfirmed) {
