--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -3,6 +3,7 @@
 import { applyHostReport } from "./apply_host_report.ts";
 import { computeReportInterval } from "./compute_report_interval.ts";
 import { HOST_LIMITS } from "./constants.ts";
+import { countInDataCentre } from "./count_in_data_centre.ts";
 import { createHostNotices } from "./create_host_notices.ts";
 import type { HostNotices } from "./create_host_notices.ts";
 import { createHostRelay } from "./create_host_relay.ts";
@@ -17,6 +18,7 @@
 import { listLiveHosts } from "./list_live_hosts.ts";
 import { listRecentHosts } from "./list_recent_hosts.ts";
 import type { RelayCandidate } from "./rank_relays.ts";
+import { selectRandom } from "./select_random.ts";
 import { selectReportsForHost } from "./select_reports_for_host.ts";
 import { splitReports } from "./split_reports.ts";
 
@@ -179,15 +181,11 @@
     const recent = listRecentAddresses();
     const silent = [...state.addresses.keys()].filter((address) => !recent.includes(address));
     return [
-      ...pickRandom([...seeds], 1),
-      ...pickRandom(recent, 1),
-      ...pickRandom(silent, HOST_LIMITS.retriedAddresses),
+      ...selectRandom([...seeds], 1, random),
+      ...selectRandom(recent, 1, random),
+      ...selectRandom(silent, HOST_LIMITS.retriedAddresses, random),
     ];
   };
-  const pickRandom = (addresses: readonly string[], count: number) => {
-    const start = addresses.length === 0 ? 0 : random.nextInteger(addresses.length);
-    return [...addresses.slice(start), ...addresses.slice(0, start)].slice(0, count);
-  };
   const sendRegular = () => {
     const recent = isMesh() ? listRecentAddresses() : [];
     const start = recent.length === 0 ? 0 : peerOffset % recent.length;
@@ -298,10 +296,3 @@
     countHostsSharingRetryBudget: () => listRecent().length + 1,
   };
 }
-
-function countInDataCentre(
-  reports: readonly Pick<HostReport, "dataCentre">[],
-  dataCentre: string,
-): number {
-  return reports.filter((report) => report.dataCentre === dataCentre).length;
-}
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -1,8 +1,7 @@
 import type { Timer } from "@crocussail/protocol";
-import type { Server, ServerResponse } from "node:http";
+import type { Server } from "node:http";
 import type { PublishedSettings } from "../adapters/deployment_feed.ts";
 import { createLoadState } from "../balancing/mod.ts";
-import { splitAddress } from "../common/split_address.ts";
 import { chooseAddresses, createFleetHosts } from "../fleet_hosts/mod.ts";
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
@@ -10,6 +9,7 @@
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
+import { createGatewayAnswers } from "./create_gateway_answers.ts";
 import { createRevisionNotices } from "./create_revision_notices.ts";
 import { createUpstreamReading } from "./create_upstream_reading.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
@@ -17,6 +17,7 @@
 import { describeUpstreams } from "./describe_upstreams.ts";
 import { findPause } from "./find_pause.ts";
 import type { GatewayOptions } from "./gateway_options.ts";
+import { listSeedAddresses } from "./list_seed_addresses.ts";
 import { openHttpListener } from "./open_http_listener.ts";
 import { readPeerLoads } from "./read_peer_loads.ts";
 
@@ -156,29 +157,13 @@
     hosts.scheduleReport();
   };
 
-  const answerDirectory = (target: string, response: ServerResponse) => {
-    if (new URL(target, "http://directory").pathname !== directory.directoryPath) {
-      response.writeHead(404).end();
-      return;
-    }
-    const localHost = describeHost();
-    const addresses = chooseAddresses([localHost, ...hosts.listLive()], random);
-    if (addresses.length === 0) {
-      response.writeHead(503).end();
-      return;
-    }
-    const ttlMs = Math.min(GATEWAY_LIMITS.directoryTtlMs, config.directory.maxTtlSeconds * 1_000);
-    const body = directory.encodeAddresses(addresses, ttlMs);
-    response.writeHead(200, { "Content-Type": "application/json" }).end(body);
-  };
-  const answerReadiness = (target: string, response: ServerResponse) => {
-    const isReadinessPath = target.split("?")[0] === directory.readinessPath;
-    response.writeHead(isReadinessPath ? (isReady() ? 200 : 503) : 404).end();
-  };
-  const answerMetrics = async (response: ServerResponse) => {
-    response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" });
-    response.end(await metrics.render());
-  };
+  const answers = createGatewayAnswers({
+    directory,
+    metrics,
+    isReady,
+    chooseAddresses: () => chooseAddresses([describeHost(), ...hosts.listLive()], random),
+    maxTtlMs: config.directory.maxTtlSeconds * 1_000,
+  });
 
   const openListeners = async () => {
     const { listen } = config;
@@ -197,17 +182,17 @@
     await openHttpListener(
       listen.readiness,
       {},
-      (request, response) => answerReadiness(request.url ?? "/", response),
+      (request, response) => answers.answerReadiness(request.url ?? "/", response),
     );
     await openHttpListener(
       listen.directory,
       {},
-      (request, response) => answerDirectory(request.url ?? "/", response),
+      (request, response) => answers.answerDirectory(request.url ?? "/", response),
     );
     await openHttpListener(
       `${config.host.address}:${listen.metricsPort}`,
       {},
-      (_request, response) => answerMetrics(response),
+      (_request, response) => answers.answerMetrics(response),
     );
   };
 
@@ -220,7 +205,12 @@
       options.feed.refreshAll();
     }
     upstreams.tick();
-    readerRank = chooseReaders([localHost, ...hosts.listLive()]).indexOf(localHost.host);
+    const live = hosts.listLive();
+    const rank = chooseReaders([localHost, ...live]).indexOf(localHost.host);
+    if (rank !== readerRank) {
+      readerRank = rank;
+      logger.writeEvent("readerChanged", { rank, live: live.length });
+    }
     const wasConfirmed = isConfirmed;
     isConfirmed = reading.isConfirmed();
     if (wasConfirmed && !isConfirmed) {
@@ -308,7 +298,3 @@
     setSeeds: (seeds) => hosts.setSeeds(listSeedAddresses(seeds, config.listen.peerPort)),
   };
 }
-
-function listSeedAddresses(seeds: readonly string[], peerPort: number): string[] {
-  return seeds.map((seed) => `${splitAddress(seed).host}:${peerPort}`);
-}
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -131,4 +131,10 @@
     title: "Host of the fleet no longer counts as live: its reports stopped",
     action: "Check the host and its network links",
   },
+  readerChanged: {
+    number: 8052,
+    level: "info",
+    title: "This host started or stopped reading the upstreams for the fleet",
+    action: "none; rank 0 reads most often, 1 stands by, -1 is no reader",
+  },
 } as const satisfies Record<string, EventEntry>;
