Refuse new generations late in a host's drain

Change: after the minimum drain time a new generation gets 503 at once, with Retry-After and the connection closed; it has not been executed. Plain requests are served as before. No test of its own yet: listed.

--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -27,6 +27,8 @@
   readonly context: ForwardingContext;
   readonly readSettings: () => RouteSettings | undefined;
   readonly isLeaving: () => boolean;
+  /** Whether so little of the drain time is left that a new generation could not complete. */
+  readonly isLateInDrain: () => boolean;
 }
 
 /** Forwards callers' requests by the published routes. */
@@ -229,6 +231,11 @@
       return;
     }
     const { route, team, requestId } = validated;
+    if (route.kind === "stream" && options.isLateInDrain()) {
+      incoming.resume();
+      refuse(reply, "noRoomInTime");
+      return;
+    }
     const body = await readBody(incoming, {
       maxBytes: settings.limits.maxBodyBytes,
       readBufferedBytes: () => bufferedBytes,
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -44,6 +44,7 @@
   const servers: Server[] = [];
   let published: PublishedSettings | undefined;
   let isLeaving = false;
+  let leavingSinceMs = Number.POSITIVE_INFINITY;
   let isConfirmed = false;
   let readerRank = -1;
   let timer: Timer | undefined;
@@ -140,6 +141,7 @@
     },
     readSettings: () => published?.settings,
     isLeaving: () => isLeaving,
+    isLateInDrain: () => clock.readMonotonicMs() - leavingSinceMs >= GATEWAY_LIMITS.minDrainMs,
   });
 
   const applySettings = (next: PublishedSettings) => {
@@ -277,6 +279,7 @@
       isLeaving = true;
       hosts.scheduleUrgentReport();
       const startMs = clock.readMonotonicMs();
+      leavingSinceMs = startMs;
       const graceMs = config.shutdown.graceSeconds * 1_000 - GATEWAY_LIMITS.exitReserveMs;
       logger.writeEvent("gatewayLeaving", { running: forwarder.countRunning() });
       await new Promise<void>((resolve) => {
