Log how the response stream of an upstream closed

The logs could not tell a stream without framing that ended within an event from one that was reset or had a length: requestServed says answered for all three. The event streamClosed and the counter forwarding.streams now give the framing, the failure and the bytes after the last complete event. Streams that end normally with a length or in chunks are only counted.

--- a/packages/daemon/src/forwarding/relay_events.ts
+++ b/packages/daemon/src/forwarding/relay_events.ts
@@ -3,6 +3,7 @@
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun, GenerationStream } from "./generation_run.ts";
 import type { GenerationHandler, StartFailure } from "./open_generation_exchange.ts";
+import { recordStreamClose } from "./record_stream_close.ts";
 import { recordUpstreamLoss } from "./record_upstream_loss.ts";
 import { sendEvent } from "./send_event.ts";
 import { splitEvents } from "./split_events.ts";
@@ -23,6 +24,12 @@
       reply.startStream(...head);
     }
   };
+  const recordClose = (failure?: string) => {
+    if (!stream.isDetached && run.phase !== "ended") {
+      const [, , rawHeaders = []] = head ?? [];
+      recordStreamClose(context, run, { rawHeaders, failure, remainingBytes: remaining.length });
+    }
+  };
   const receiveEvent = (event: Uint8Array) => {
     const nowMs = context.clock.readMonotonicMs();
     recordFirstEvent(context, run, nowMs);
@@ -54,6 +61,7 @@
       split.events.forEach(receiveEvent);
     },
     end: () => {
+      recordClose();
       stream.closed = "end";
       stream.handleClose?.();
       if (run.phase === "ended" || stream.isDetached) {
@@ -69,6 +77,7 @@
       run.finish("answered");
     },
     fail: (reason) => {
+      recordClose(reason);
       stream.closed = "fail";
       stream.handleClose?.();
       if (!stream.hasEvent && run.upstream !== undefined && !stream.isDetached) {
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -64,6 +64,12 @@
     title: "Response was cut off after its first part",
     action: "The reason states what was lost; check the upstream named in the event",
   },
+  streamClosed: {
+    number: 8016,
+    level: "info",
+    title: "Response stream of an upstream failed, or closed without a length or chunks",
+    action: "none; remainingBytes above 0: it was closed within an event",
+  },
   moveStarted: {
     number: 8020,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -104,6 +104,12 @@
     unit: "ms",
     meaning: "Time between events of forwarded generations",
   },
+  "forwarding.streams": {
+    type: "counter",
+    unit: "streams",
+    meaning:
+      "Closed response streams of upstreams, by tags `framing`: length, chunks, connection; and `end`: end, failure",
+  },
   "forwarding.running": {
     type: "gauge",
     unit: "requests",
