Reset an HTTP/1.0 caller's connection when its stream is broken off

Found by looking for the cause of the broken-off streams elsewhere: the end of a connection was taken for the end of a message. A caller of HTTP/1.0 gets no chunks, so a stream that the host breaks off with a normal close looked complete to it. The connection is now reset when the body has no framing. Callers of HTTP/1.1 keep the normal close: without the last chunk it cannot look complete, and a reset would drop events that they have not read.

The new test in broken_off_streams_test returned the first two events as complete before the change and passes now: 6 passed.

--- a/packages/daemon/src/forwarding/create_caller_reply.ts
+++ b/packages/daemon/src/forwarding/create_caller_reply.ts
@@ -73,6 +73,10 @@
     },
     abort: () => {
       hasEnded = true;
+      if (response.headersSent && !response.chunkedEncoding) {
+        // Without chunks the end of the connection marks the end of the body; only a reset does not.
+        response.socket?.resetAndDestroy();
+      }
       response.destroy();
     },
     onDisconnect: (callback) => {
