Do not record a response that was reset as the outcome of an order

Found by looking for the cause of the broken-off streams elsewhere. The client of plain services on the daemon's own interface took the bytes received before a reset for the complete response when the service sent no length, so an order's outcome could be recorded and repeated to callers with a short body. The check that the exchange of forwarded requests already makes is now a function of its own, watchConnectionLoss, and both use it.

--- a/packages/daemon/src/adapters/create_http_service_client.ts
+++ b/packages/daemon/src/adapters/create_http_service_client.ts
@@ -2,6 +2,7 @@
 import { Left, Right } from "purify-ts";
 import { buildConnector, Client } from "undici";
 import type { ServiceClient, ServiceRequest, ServiceResponse } from "./service_client.ts";
+import { watchConnectionLoss } from "./watch_connection_loss.ts";
 
 /** Options of {@link createHttpServiceClient}. */
 export interface HttpServiceClientOptions {
@@ -25,6 +26,7 @@
     callService: async (url, call) => {
       // If no connection was opened, no byte of the call can have been written.
       let connectionCount = 0;
+      let readConnectionLoss: () => string | undefined = () => undefined;
       const connect = buildConnector({ timeout: Math.min(connectTimeoutMs, call.timeoutMs) });
       const connectOnce: buildConnector.connector = (target, callback) => {
         if (connectionCount > 0) {
@@ -32,7 +34,10 @@
           return;
         }
         connect(target, (...args) => {
-          connectionCount += args[0] === null ? 1 : 0;
+          if (args[0] === null) {
+            connectionCount++;
+            readConnectionLoss = watchConnectionLoss(args[1]);
+          }
           callback(...args);
         });
       };
@@ -44,7 +49,12 @@
           maxHeaderSize: MAX_HEADER_BYTES,
           maxResponseSize: maxAnswerBytes,
         });
-        return Right(await sendCall(client, call));
+        const response = await sendCall(client, call);
+        const loss = readConnectionLoss();
+        if (loss !== undefined) {
+          throw new Error(loss);
+        }
+        return Right(response);
       } catch (error) {
         const ran = connectionCount === 0 ? "no" : "unknown";
         return Left(createResultError("orderOutcomeUnknown", `${url}: ${error}`, { ran }));
--- a/packages/daemon/src/adapters/create_http_service_client_test.ts
+++ b/packages/daemon/src/adapters/create_http_service_client_test.ts
@@ -5,6 +5,8 @@
 import { testServiceClient } from "./service_client_contract_test.ts";
 import type { ContractService, ServiceFault } from "./service_client_contract_test.ts";
 
+const RESET_DELAY_MS = 20;
+
 async function startService(fault: ServiceFault): Promise<ContractService> {
   let calls = 0;
   const server = createServer((request, response) => {
@@ -40,6 +42,10 @@
       response.writeHead(201, { "content-length": "100" });
       response.write("part", () => response.destroy());
       break;
+    case "resetInBodyWithoutLength":
+      response.socket?.write("HTTP/1.1 201 Created\r\n\r\npart");
+      setTimeout(() => response.socket?.resetAndDestroy(), RESET_DELAY_MS);
+      break;
     case "hang":
       break;
     case "hangInBody":
--- a/packages/daemon/src/adapters/open_http_exchange.ts
+++ b/packages/daemon/src/adapters/open_http_exchange.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "undici";
 import { splitAddress } from "../common/split_address.ts";
 import type { OpenUpstreamExchange } from "./upstream_exchange.ts";
+import { watchConnectionLoss } from "./watch_connection_loss.ts";
 
 const LATIN1 = "latin1";
 
@@ -14,8 +15,7 @@
   const { host, port } = splitAddress(request.address);
   let isSent = false;
   let isFinished = false;
-  // undici treats the bytes received before a reset as the complete body if it has no length.
-  let connectionError: string | undefined;
+  let readConnectionLoss: () => string | undefined = () => undefined;
 
   const client = new Client(`http://${request.address}`, {
     headersTimeout: 0,
@@ -30,16 +30,7 @@
         clearTimeout(timer);
         socket.off("connect", handleConnect).off("error", settle);
         if (error === null) {
-          socket.once("error", (socketError) => {
-            connectionError = socketError.message;
-          });
-          // libuv reports a reset that it polls together with bytes as a normal end of the stream;
-          // the remote address is then undefined.
-          socket.once("end", () => {
-            if (socket.remoteAddress === undefined) {
-              connectionError = "connection was reset";
-            }
-          });
+          readConnectionLoss = watchConnectionLoss(socket);
           callback(null, socket);
         } else {
           callback(error, null);
@@ -84,9 +75,10 @@
         }
       },
       onResponseEnd: () =>
-        finish(() =>
-          connectionError === undefined ? handler.end() : handler.fail(isSent, connectionError)
-        ),
+        finish(() => {
+          const loss = readConnectionLoss();
+          loss === undefined ? handler.end() : handler.fail(isSent, loss);
+        }),
       onResponseError: (_controller, error) => finish(() => handler.fail(isSent, error.message)),
     });
 
--- a/packages/daemon/src/adapters/service_client_contract_test.ts
+++ b/packages/daemon/src/adapters/service_client_contract_test.ts
@@ -9,6 +9,7 @@
   | "refuse"
   | "closeBeforeResponse"
   | "closeInBody"
+  | "resetInBodyWithoutLength"
   | "hang"
   | "hangInBody"
   | "largeBody"
@@ -64,6 +65,7 @@
       ["refuse", "no", 0],
       ["closeBeforeResponse", "unknown", 1],
       ["closeInBody", "unknown", 1],
+      ["resetInBodyWithoutLength", "unknown", 1],
       ["hang", "unknown", 1],
       ["hangInBody", "unknown", 1],
       ["largeBody", "unknown", 1],
