Log the prompt parts of generations that lose their engine in their first steps

The new event generationLost gives the parts of the prompt, whether the response had begun, the events and the time since its head.

--- a/packages/daemon/src/adapters/deployment_dialect.ts
+++ b/packages/daemon/src/adapters/deployment_dialect.ts
@@ -11,6 +11,8 @@
   readonly maxOutputTokens: number;
   /** Output tokens that the caller expects. */
   readonly expectedTokens: number;
+  /** Ids of the prompt's parts, in order; the last one is specific to the request or its session. */
+  readonly promptParts: readonly string[];
 }
 
 /** Location of a copy of a generation's KV cache. */
--- a/packages/daemon/src/forwarding/create_generation_stream.ts
+++ b/packages/daemon/src/forwarding/create_generation_stream.ts
@@ -4,7 +4,7 @@
 export function createGenerationStream(): GenerationStream {
   return {
     exchange: undefined,
-    hasEvent: false,
+    events: 0,
     bufferedEvents: undefined,
     closed: undefined,
     isDetached: false,
--- a/packages/daemon/src/forwarding/relay_events.ts
+++ b/packages/daemon/src/forwarding/relay_events.ts
@@ -5,8 +5,8 @@
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun, GenerationStream } from "./generation_run.ts";
 import type { GenerationHandler, StartFailure } from "./open_generation_exchange.ts";
+import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordStreamClose } from "./record_stream_close.ts";
-import { recordUpstreamLoss } from "./record_upstream_loss.ts";
 import { sendEvent } from "./send_event.ts";
 import { splitEvents } from "./split_events.ts";
 
@@ -19,6 +19,7 @@
 ): GenerationHandler {
   const { reply } = run.request;
   let head: [number, string, readonly string[]] | undefined;
+  let headAtMs = 0;
   let remaining: Uint8Array = new Uint8Array();
 
   const startAnswer = () => {
@@ -53,8 +54,11 @@
   const handleFailure = (reason: string) => {
     stream.closed = "fail";
     stream.handleClose?.();
-    if (!stream.hasEvent && run.upstream !== undefined && !stream.isDetached) {
-      recordUpstreamLoss(context, run.request, run.upstream);
+    if (run.upstream !== undefined && !stream.isDetached) {
+      recordGenerationLoss(context, run, run.upstream, {
+        events: stream.events,
+        sinceHeadMs: context.clock.readMonotonicMs() - headAtMs,
+      });
     }
     if (run.phase === "running" && !stream.isDetached) {
       run.restore(reason);
@@ -64,6 +68,7 @@
   return {
     start: (status, statusText, rawHeaders) => {
       head = [status, statusText, rawHeaders];
+      headAtMs = context.clock.readMonotonicMs();
     },
     receiveData: (chunk) => {
       if (run.phase === "ended" || stream.isDetached) {
@@ -77,7 +82,7 @@
       recordClose();
       const decision = decideStreamEnd({
         framing: findBodyFraming(head?.[2] ?? []),
-        hasEvent: stream.hasEvent,
+        hasEvent: stream.events > 0,
         remainingBytes: remaining.length,
       });
       if (decision.type === "brokenOff") {
@@ -110,8 +115,8 @@
   stream: GenerationStream,
   nowMs: number,
 ): void {
-  const isFirst = !stream.hasEvent;
-  stream.hasEvent = true;
+  const isFirst = stream.events === 0;
+  stream.events++;
   if (isFirst || run.upstream === undefined) {
     return;
   }
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -6,7 +6,7 @@
 import { createGenerationStream } from "./create_generation_stream.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
-import { recordUpstreamLoss } from "./record_upstream_loss.ts";
+import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordReachability } from "./record_reachability.ts";
 import { openGenerationExchange } from "./open_generation_exchange.ts";
 import { relayEvents } from "./relay_events.ts";
@@ -72,7 +72,7 @@
     timer.cancel();
     recordReachability(context, upstream.record.id, failure.outcome);
     if (failure.isConnectionLost) {
-      recordUpstreamLoss(context, request, upstream);
+      recordGenerationLoss(context, run, upstream, { events: 0, sinceHeadMs: undefined });
     }
     options.refuse(failure.reason, hasNotExecuted(failure.outcome));
   });
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -12,7 +12,7 @@
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
-import { recordUpstreamLoss } from "./record_upstream_loss.ts";
+import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordReachability } from "./record_reachability.ts";
 import { openGenerationExchange } from "./open_generation_exchange.ts";
 import type { StartFailure } from "./open_generation_exchange.ts";
@@ -73,7 +73,7 @@
     }
     recordReachability(context, upstream.record.id, failure.outcome);
     if (failure.isConnectionLost) {
-      recordUpstreamLoss(context, request, upstream);
+      recordGenerationLoss(context, run, upstream, { events: 0, sinceHeadMs: undefined });
     }
     observePerformance(context.loads, { upstreamId: upstream.record.id, hasFailed: true });
     context.loads.inFlightRequests.delete(request.requestId);
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -70,6 +70,12 @@
     title: "Response stream of an upstream failed, or closed without a length or chunks",
     action: "none; remainingBytes above 0: it was closed within an event",
   },
+  generationLost: {
+    number: 8017,
+    level: "warn",
+    title: "Generation lost its engine before it was well under way",
+    action: "Compare the prompt parts of such events: one in common may crash the engines",
+  },
   moveStarted: {
     number: 8020,
     level: "info",
