Quarantine parts of prompts that crash engines

Callers saw engine after engine go down: requests that share one part of their prompts crash each engine that begins to write an answer on it. Cause: the quarantine knows whole requests (team, path and body), and these differ in all but that part, so each of them had crashed one engine only.

Hosts now also count crashes by part of the prompt, and tell each other which parts lost an engine in their first steps, which were executed soundly and which are quarantined. decideQuarantinedParts, a pure function, blames a part after three crashes of different engines without a sound execution since; of several it takes the most likely one, and what that explains does not count against others, so parts that sound requests use stay accepted. Requests with a quarantined part are refused at once on every host, also from the wait queue; one that has not begun is ended, and one with a part that two crashes point to is not resumed on the next engine. A host that joins is told by whoever knows it, not only by the host that decided. Ages of notices now include the time in relays.

--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -38,6 +38,8 @@
   readonly buildReport: () => LocalReport;
   /** Receives each new report of another host and its age. */
   readonly applyReport: (received: AgedReport) => void;
+  /** Called when other hosts have joined. */
+  readonly handleJoined: () => void;
 }
 
 /** A report without the fields that this slice sets. */
@@ -145,7 +147,7 @@
     if (isNew && !isMesh() && relay.isRelay(report.host)) {
       scheduleUrgentReport(); // this host's reports have not reached the new relay yet
     }
-    notices.acceptNotices(report);
+    notices.acceptNotices(report, ageMs);
     options.applyReport(received);
   };
 
@@ -239,6 +241,7 @@
     joined.forEach((peer) => logger.writeEvent("hostJoined", { peer, live: current.size }));
     if (joined.length > 0) {
       notices.renewNotices();
+      options.handleJoined();
     }
     [...live].filter((host) => !current.has(host))
       .forEach((peer) => logger.writeEvent("hostLost", { peer, live: current.size }));
--- a/packages/daemon/src/fleet_hosts/create_host_notices.ts
+++ b/packages/daemon/src/fleet_hosts/create_host_notices.ts
@@ -21,8 +21,8 @@
   subscribeNotices(topic: string, listener: (notice: Notice) => void): void;
   /** Lists the notices of the next report. */
   listReported(): HostReport["notices"];
-  /** Delivers those notices of a report that have not been delivered yet. */
-  acceptNotices(report: Pick<HostReport, "host" | "notices">): void;
+  /** Delivers those notices of a report, sent `ageMs` ago, that have not been delivered yet. */
+  acceptNotices(report: Pick<HostReport, "host" | "notices">, ageMs: number): void;
   /** Reports again, for a host that has joined, all notices that have not expired. */
   renewNotices(): void;
 }
@@ -80,9 +80,10 @@
           notice.payload,
         ]);
     },
-    acceptNotices: ({ host, notices }) => {
+    acceptNotices: ({ host, notices }, ageMs) => {
       const nowMs = clock.readMonotonicMs();
-      for (const [topic, key, ttlMs, payload] of notices) {
+      for (const [topic, key, reportedTtlMs, payload] of notices) {
+        const ttlMs = Math.max(1, reportedTtlMs - ageMs);
         const identity = `${host}/${topic}/${key}`;
         if ((known.get(identity) ?? 0) > nowMs) {
           continue;
--- a/packages/daemon/src/fleet_hosts/create_host_notices_test.ts
+++ b/packages/daemon/src/fleet_hosts/create_host_notices_test.ts
@@ -28,7 +28,7 @@
     expect(first.received).to.deep.equal([["h1", { key: "k" }]]);
     expect(first.countScheduled()).to.equal(1);
     for (let report = 0; report < 3; report++) {
-      second.notices.acceptNotices({ host: "h1", notices: first.notices.listReported() });
+      second.notices.acceptNotices({ host: "h1", notices: first.notices.listReported() }, 0);
     }
     expect(second.received).to.deep.equal([["h1", { key: "k" }]]);
   });
@@ -44,7 +44,7 @@
     for (let report = 0; report < 3; report++) {
       const notices = first.notices.listReported();
       expect(notices.length).to.equal(HOST_LIMITS.noticesPerReport);
-      second.notices.acceptNotices({ host: "h1", notices });
+      second.notices.acceptNotices({ host: "h1", notices }, 0);
     }
     expect(second.received.length).to.equal(keys.length);
   });
@@ -66,16 +66,16 @@
     const first = createHost("h1");
     const second = createHost("h2");
     for (let index = 0; index < 2 * HOST_LIMITS.maxKnownNotices; index++) {
-      second.notices.acceptNotices({ host: "h1", notices: [["t", `k${index}`, TTL_MS, index]] });
+      second.notices.acceptNotices({ host: "h1", notices: [["t", `k${index}`, TTL_MS, index]] }, 0);
       first.notices.publishNotice(createNotice(`k${index}`));
     }
     const oldest = `k${2 * HOST_LIMITS.maxKnownNotices - HOST_LIMITS.maxLocalNotices}`;
     expect(first.notices.listReported()[0]?.[1]).to.equal(oldest);
     second.received.length = 0;
     const newest = `k${2 * HOST_LIMITS.maxKnownNotices - 1}`;
-    second.notices.acceptNotices({ host: "h1", notices: [["t", newest, TTL_MS, 0]] });
+    second.notices.acceptNotices({ host: "h1", notices: [["t", newest, TTL_MS, 0]] }, 0);
     expect(second.received).to.deep.equal([]);
-    second.notices.acceptNotices({ host: "h1", notices: [["t", "k0", TTL_MS, 0]] });
+    second.notices.acceptNotices({ host: "h1", notices: [["t", "k0", TTL_MS, 0]] }, 0);
     expect(second.received).to.deep.equal([["h1", 0]]);
   });
 
--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -74,6 +74,7 @@
         peerAddress: getAddress(index),
         fleetKey: "0123456789abcdef0123456789abcdef",
         seeds: Array.from({ length: SEEDS }, (_, seed) => getAddress(seed)),
+        handleJoined: () => {},
         buildReport: () => ({
           ...localHost,
           incarnation,
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -21,6 +21,8 @@
    * the pauses that the prefill of other prompts causes.
    */
   eventTimeoutMs: 1_200,
+  /** Time from its first event after which a generation is well under way on an upstream. */
+  firstStepsMs: 1_000,
   /** Base delay before a refused caller may retry. */
   retryAfterMs: 800,
   /** Maximum random jitter added to that delay, so that callers do not retry together. */
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -16,6 +16,8 @@
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
 import { readBody } from "./read_body.ts";
+import { isHeldBack } from "./is_held_back.ts";
+import { listPartKeys } from "./list_part_keys.ts";
 import { migrateGeneration } from "./migrate_generation.ts";
 import { REFUSAL_DETAILS } from "./refusal_details.ts";
 import type { RefusalCode } from "./refusal_details.ts";
@@ -99,6 +101,12 @@
       run.finish("timeout");
       return;
     }
+    if (run.phase === "running" && run.sentEvents === 0 && isHeldBack(context, request)) {
+      // Its engine may still be reading the prompt; ending the request then avoids another crash.
+      request.reply.refuse("outcomeUnknown", REFUSAL_DETAILS.requestHeldBack);
+      run.finish("heldBack");
+      return;
+    }
     const isSilent = nowMs - run.lastEventAtMs > FORWARDING_LIMITS.eventTimeoutMs;
     const hasBackup = run.inFlight?.copyUpstreamId !== undefined;
     if (
@@ -259,7 +267,8 @@
       team: team?.name,
     };
     const fingerprint = digestForwardedRequest(identity);
-    if (context.quarantine.isQuarantined(fingerprint)) {
+    const partKeys = listPartKeys(service.name, head.promptParts);
+    if (isHeldBack(context, { fingerprint, partKeys })) {
       refuse(reply, "requestHeldBack");
       return;
     }
@@ -270,6 +279,7 @@
       rawHeaders: incoming.rawHeaders,
       head,
       fingerprint,
+      partKeys,
       route,
       service,
       priority: team?.priority ?? route.priority,
--- a/packages/daemon/src/forwarding/create_generation_stream.ts
+++ b/packages/daemon/src/forwarding/create_generation_stream.ts
@@ -4,7 +4,6 @@
 export function createGenerationStream(): GenerationStream {
   return {
     exchange: undefined,
-    events: 0,
     bufferedEvents: undefined,
     closed: undefined,
     isDetached: false,
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -13,6 +13,8 @@
   readonly head: CallerRequestHead;
   /** Digest that identifies repetitions of the same request. */
   readonly fingerprint: string;
+  /** Keys of the parts of its prompt in the quarantine, without the last part. */
+  readonly partKeys: readonly string[];
   readonly route: Route;
   readonly service: ServiceSettings;
   readonly team: string | undefined;
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -3,7 +3,7 @@
 import type { KvCacheClient } from "../adapters/kv_cache_client.ts";
 import type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
 import type { LoadState } from "../balancing/mod.ts";
-import type { Quarantine } from "../quarantine/mod.ts";
+import type { PromptPartQuarantine, Quarantine } from "../quarantine/mod.ts";
 import type { RetryBudgetLimits, RetryBudgetState } from "../retries/mod.ts";
 import type { UpstreamState } from "../upstreams/mod.ts";
 
@@ -22,6 +22,10 @@
     Quarantine,
     "isQuarantined" | "recordUpstreamCrash" | "recordRequestEnd"
   >;
+  readonly promptParts: Pick<
+    PromptPartQuarantine,
+    "isQuarantined" | "isSuspected" | "recordCrash" | "recordSound"
+  >;
   readonly budgetLimits: RetryBudgetLimits;
   /** Retry budgets by service. */
   readonly budgets: Map<string, RetryBudgetState>;
--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -12,8 +12,6 @@
 /** The response stream of a generation from one upstream. */
 export interface GenerationStream {
   exchange: UpstreamExchange | undefined;
-  /** Complete events that have arrived on this stream. */
-  events: number;
   /** Events buffered while another upstream is requested to resume; sent if it does not resume. */
   bufferedEvents: Uint8Array[] | undefined;
   /** How the stream closed; undefined while it is open. */
--- a/packages/daemon/src/forwarding/record_generation_loss.ts
+++ b/packages/daemon/src/forwarding/record_generation_loss.ts
@@ -1,38 +1,44 @@
 import type { Upstream } from "../upstreams/mod.ts";
+import { FORWARDING_LIMITS } from "./constants.ts";
+import { findLostUpstreamKey } from "./find_lost_upstream_key.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
 import { recordUpstreamLoss } from "./record_upstream_loss.ts";
 
 /** How far a generation was on the upstream that it lost. */
 export interface LostProgress {
-  /** Complete events that arrived from this upstream. */
-  readonly events: number;
-  /** Time since the head of the response; undefined if none has arrived. */
-  readonly sinceHeadMs: number | undefined;
+  /** Whether the head of the response had arrived. */
+  readonly hasHead: boolean;
+  /** Monotonic time of the first complete event from this upstream. */
+  readonly firstEventAtMs: number | undefined;
 }
 
-/** Time from the head of the response after which a generation is well under way. */
-const FIRST_STEPS_MS = 1_000;
-
 /** Logs the loss of an upstream in a generation's first steps, and reports it to the quarantine. */
 export function recordGenerationLoss(
   context: ForwardingContext,
   run: GenerationRun,
   upstream: Upstream,
-  { events, sinceHeadMs }: LostProgress,
+  { hasHead, firstEventAtMs }: LostProgress,
 ): void {
   const { request } = run;
-  if (sinceHeadMs === undefined || sinceHeadMs < FIRST_STEPS_MS) {
+  const sinceFirstEventMs = firstEventAtMs === undefined
+    ? 0
+    : context.clock.readMonotonicMs() - firstEventAtMs;
+  if (sinceFirstEventMs < FORWARDING_LIMITS.firstStepsMs) {
     context.logger.writeEvent("generationLost", {
       request: request.requestId,
       upstream: upstream.record.id,
       parts: request.head.promptParts.join(" "),
-      hasHead: sinceHeadMs !== undefined,
-      events,
-      sinceHeadMs: Math.round(sinceHeadMs ?? 0),
+      hasHead,
+      hasEvent: firstEventAtMs !== undefined,
+      sinceFirstEventMs: Math.round(sinceFirstEventMs),
     });
+    const key = findLostUpstreamKey(context, upstream);
+    if (key !== undefined) {
+      context.promptParts.recordCrash(key, request.partKeys);
+    }
   }
-  if (events === 0) {
+  if (firstEventAtMs === undefined) {
     recordUpstreamLoss(context, request, upstream);
   }
 }
--- a/packages/daemon/src/forwarding/refusal_details.ts
+++ b/packages/daemon/src/forwarding/refusal_details.ts
@@ -7,7 +7,7 @@
   bodyTooLarge: "the body is larger than the published limit",
   settingsUnknown: "this host has not loaded any published settings yet",
   noUpstreamLeft: "no service of the route accepts requests",
-  requestHeldBack: "the request has crashed more than one upstream",
+  requestHeldBack: "the request, or a part of its prompt, has crashed several upstreams",
   noRoomInTime: "this host buffers too many request bodies",
 } as const;
 
--- a/packages/daemon/src/forwarding/relay_events.ts
+++ b/packages/daemon/src/forwarding/relay_events.ts
@@ -1,4 +1,5 @@
 import { observePerformance } from "../balancing/mod.ts";
+import { FORWARDING_LIMITS } from "./constants.ts";
 import { decideStreamEnd } from "./decide_stream_end.ts";
 import { findBodyFraming } from "./find_body_framing.ts";
 import { findEventId } from "./find_event_id.ts";
@@ -19,7 +20,8 @@
 ): GenerationHandler {
   const { reply } = run.request;
   let head: [number, string, readonly string[]] | undefined;
-  let headAtMs = 0;
+  let firstEventAtMs: number | undefined;
+  let isWellUnderWay = false;
   let remaining: Uint8Array = new Uint8Array();
 
   const startAnswer = () => {
@@ -36,7 +38,14 @@
   const receiveEvent = (event: Uint8Array) => {
     const nowMs = context.clock.readMonotonicMs();
     recordFirstEvent(context, run, nowMs);
-    recordEventGap(context, run, stream, nowMs);
+    if (firstEventAtMs !== undefined) {
+      recordEventGap(context, run, nowMs);
+    }
+    firstEventAtMs ??= nowMs;
+    if (!isWellUnderWay && nowMs - firstEventAtMs >= FORWARDING_LIMITS.firstStepsMs) {
+      isWellUnderWay = true;
+      context.promptParts.recordSound(run.request.partKeys);
+    }
     run.lastEventAtMs = nowMs;
     if (stream.bufferedEvents !== undefined) {
       stream.bufferedEvents.push(event);
@@ -55,10 +64,7 @@
     stream.closed = "fail";
     stream.handleClose?.();
     if (run.upstream !== undefined && !stream.isDetached) {
-      recordGenerationLoss(context, run, run.upstream, {
-        events: stream.events,
-        sinceHeadMs: context.clock.readMonotonicMs() - headAtMs,
-      });
+      recordGenerationLoss(context, run, run.upstream, { hasHead: true, firstEventAtMs });
     }
     if (run.phase === "running" && !stream.isDetached) {
       run.restore(reason);
@@ -68,7 +74,6 @@
   return {
     start: (status, statusText, rawHeaders) => {
       head = [status, statusText, rawHeaders];
-      headAtMs = context.clock.readMonotonicMs();
     },
     receiveData: (chunk) => {
       if (run.phase === "ended" || stream.isDetached) {
@@ -82,7 +87,7 @@
       recordClose();
       const decision = decideStreamEnd({
         framing: findBodyFraming(head?.[2] ?? []),
-        hasEvent: stream.events > 0,
+        hasEvent: firstEventAtMs !== undefined,
         remainingBytes: remaining.length,
       });
       if (decision.type === "brokenOff") {
@@ -98,6 +103,7 @@
       startAnswer();
       reply.endStream();
       context.quarantine.recordRequestEnd(run.request.fingerprint, true);
+      context.promptParts.recordSound(run.request.partKeys);
       run.finish("answered");
     },
     fail: (reason) => {
@@ -108,16 +114,9 @@
   };
 }
 
-/** Records the time between two events of a stream; the first event of a stream is skipped. */
-function recordEventGap(
-  context: ForwardingContext,
-  run: GenerationRun,
-  stream: GenerationStream,
-  nowMs: number,
-): void {
-  const isFirst = stream.events === 0;
-  stream.events++;
-  if (isFirst || run.upstream === undefined) {
+/** Records the time between two events of a stream. */
+function recordEventGap(context: ForwardingContext, run: GenerationRun, nowMs: number): void {
+  if (run.upstream === undefined) {
     return;
   }
   const gapMs = nowMs - run.lastEventAtMs;
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -4,6 +4,7 @@
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
+import { isHeldBack } from "./is_held_back.ts";
 import { resumeGeneration } from "./resume_generation.ts";
 
 /**
@@ -19,7 +20,9 @@
   const budget = getServiceBudget(context, run.request.service.name);
   const tryRestore = () => {
     const copy = findBackupCopy(context, run);
-    if (copy === undefined || context.quarantine.isQuarantined(run.request.fingerprint)) {
+    const isSuspected = isHeldBack(context, run.request) ||
+      context.promptParts.isSuspected(run.request.partKeys);
+    if (copy === undefined || isSuspected) {
       endInterrupted(context, run, reason);
       return;
     }
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -72,7 +72,7 @@
     timer.cancel();
     recordReachability(context, upstream.record.id, failure.outcome);
     if (failure.isConnectionLost) {
-      recordGenerationLoss(context, run, upstream, { events: 0, sinceHeadMs: undefined });
+      recordGenerationLoss(context, run, upstream, { hasHead: false, firstEventAtMs: undefined });
     }
     options.refuse(failure.reason, hasNotExecuted(failure.outcome));
   });
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -1,5 +1,6 @@
 import { observePerformance } from "../balancing/mod.ts";
 import type { InFlightRequest, UpstreamCandidate } from "../balancing/mod.ts";
+import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { decideRetry, hasNotExecuted } from "../retries/mod.ts";
 import { listUsableUpstreams } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
@@ -12,10 +13,12 @@
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
+import { isHeldBack } from "./is_held_back.ts";
 import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordReachability } from "./record_reachability.ts";
 import { openGenerationExchange } from "./open_generation_exchange.ts";
 import type { StartFailure } from "./open_generation_exchange.ts";
+import { REFUSAL_DETAILS } from "./refusal_details.ts";
 import { restoreGeneration } from "./restore_generation.ts";
 import { relayEvents } from "./relay_events.ts";
 
@@ -73,7 +76,7 @@
     }
     recordReachability(context, upstream.record.id, failure.outcome);
     if (failure.isConnectionLost) {
-      recordGenerationLoss(context, run, upstream, { events: 0, sinceHeadMs: undefined });
+      recordGenerationLoss(context, run, upstream, { hasHead: false, firstEventAtMs: undefined });
     }
     observePerformance(context.loads, { upstreamId: upstream.record.id, hasFailed: true });
     context.loads.inFlightRequests.delete(request.requestId);
@@ -88,7 +91,7 @@
       unexecutedAttempts,
       maxAttempts: request.route.maxAttempts,
       hasBudget: budget.hasRoom(),
-      isQuarantined: context.quarantine.isQuarantined(request.fingerprint),
+      isQuarantined: isHeldBack(context, request),
       leftMs: request.deadlineAtMs - context.clock.readMonotonicMs(),
     });
     if (decision === "retry") {
@@ -164,6 +167,10 @@
     if (run.phase === "ended") {
       return true;
     }
+    if (isHeldBack(context, request)) {
+      refuseHeldBack();
+      return true;
+    }
     const { promptTokens, maxOutputTokens, expectedTokens } = request.head;
     const chosen = chooseGenerationUpstream(context, {
       request,
@@ -178,6 +185,11 @@
     return true;
   };
 
+  const refuseHeldBack = () => {
+    const { quarantineMs } = QUARANTINE_DEFAULTS;
+    request.reply.refuse("requestHeldBack", REFUSAL_DETAILS.requestHeldBack, quarantineMs);
+    run.finish("heldBack");
+  };
   const refuseQueued = (detail: string) => {
     request.reply.refuse("noRoomInTime", detail, computeRetryAfter(context.random));
     run.finish("refused");
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -5,7 +5,7 @@
 import { chooseAddresses, createFleetHosts } from "../fleet_hosts/mod.ts";
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
-import { createQuarantine } from "../quarantine/mod.ts";
+import { createPromptPartQuarantine, createQuarantine } from "../quarantine/mod.ts";
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
@@ -111,12 +111,17 @@
       applyReportedUpstreams(upstreams, reading, { report, ageMs }, clock.readMonotonicMs());
       revisions.acceptRevision(report.settingsRevision);
     },
+    handleJoined: () => promptParts.renewNotices(),
   });
   const quarantine = createQuarantine({
     context: { clock, logger, random },
     membership: hosts,
     limits: GATEWAY_LIMITS.quarantine,
   });
+  const promptParts = createPromptPartQuarantine({
+    context: { clock, logger, metrics, random },
+    membership: hosts,
+  });
   const forwarder = createForwarder({
     context: {
       clock,
@@ -129,6 +134,7 @@
       upstreams: upstreams.state,
       loads,
       quarantine,
+      promptParts,
       budgetLimits: {
         ratio: config.retries.ratio,
         slack: config.retries.slack,
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -76,6 +76,18 @@
     title: "Generation lost its engine before it was well under way",
     action: "Compare the prompt parts of such events: one in common may crash the engines",
   },
+  promptPartQuarantined: {
+    number: 8018,
+    level: "warn",
+    title: "Part of prompts crashes engines; requests with it are refused on every host",
+    action: "Tell its team; check the engines' logs for the requests in generationLost",
+  },
+  promptPartCleared: {
+    number: 8019,
+    level: "info",
+    title: "Quarantined part of prompts was executed soundly and is accepted again",
+    action: "none",
+  },
   moveStarted: {
     number: 8020,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -104,6 +104,11 @@
     unit: "ms",
     meaning: "Time between events of forwarded generations",
   },
+  "quarantine.promptParts": {
+    type: "gauge",
+    unit: "parts",
+    meaning: "Parts of prompts that are quarantined because they crash engines",
+  },
   "forwarding.streams": {
     type: "counter",
     unit: "streams",
