--- a/packages/daemon/src/forwarding/record_generation_loss.ts
+++ b/packages/daemon/src/forwarding/record_generation_loss.ts
@@ -25,7 +25,7 @@
     ? 0
     : context.clock.readMonotonicMs() - firstEventAtMs;
   if (sinceFirstEventMs < FORWARDING_LIMITS.firstStepsMs) {
-    context.logger.writeEvent("generationLost", {
+    context.logger.writeEvent("engineLostEarly", {
       request: request.requestId,
       upstream: upstream.record.id,
       parts: request.head.promptParts.join(" "),
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -70,7 +70,7 @@
     title: "Response stream of an upstream failed, or closed without a length or chunks",
     action: "none; remainingBytes above 0: it was closed within an event",
   },
-  generationLost: {
+  engineLostEarly: {
     number: 8017,
     level: "warn",
     title: "Generation lost its engine before it was well under way",
@@ -80,7 +80,7 @@
     number: 8018,
     level: "warn",
     title: "Part of prompts crashes engines; requests with it are refused on every host",
-    action: "Tell its team; check the engines' logs for the requests in generationLost",
+    action: "Tell its team; check the engines' logs for the requests in engineLostEarly",
   },
   promptPartCleared: {
     number: 8019,
