Keep settings and upstreams when the store comes back from an older copy

In a drill the users' store may return from a copy some seconds old: revisions go back and are given out again, and Store-Era rises. This code ordered settings by revision alone and knew no era, so a restored store could hide the operator's next versions, and an engine that had left could be used again.

The watch reads all again when the era rises, also without a 410; hosts report their era. Settings are ordered by version, then era and revision, so an older version is never applied within a lifetime. Records that the copy lacks lapse as after an outage, and for 5 s a record of an engine that had left counts only when it is newer than the last one known. The reports' settingsRevision is now settingsVersion, with settingsEra; hosts of both kinds do not exchange reports. New event storeRestored (8034).

--- a/bench/src/engines/run_engine_load.ts
+++ b/bench/src/engines/run_engine_load.ts
@@ -257,7 +257,7 @@
 function describeEngine({ id }: Pick<Engine, "id">) {
   const record = {
     ...{ id, service: "llm", address: "10.0.0.1:1", dataCentre: "a", slots: 24 },
-    ...{ isLeaving: false, slowForMs: 0, startedAt: 1 },
+    ...{ isLeaving: false, slowForMs: 0, startedAt: 1, sequence: 0 },
   };
   return { record, status: "ready" as const, sinceMs: 0, isAbsent: false, slowUntilMs: 0 };
 }
--- a/packages/daemon/src/adapters/deployment_feed.ts
+++ b/packages/daemon/src/adapters/deployment_feed.ts
@@ -1,8 +1,11 @@
 import type { RouteSettings } from "../routes/mod.ts";
 import type { UpstreamRecord } from "../upstreams/mod.ts";
 
-/** A published value and the revision at which it was written. */
+/** A published value, and where it was written. */
 export interface PublishedSettings {
+  /** Era of the settings service, which rises when it comes back from an older copy. */
+  readonly era: number;
+  /** Revision at which it was written; revisions are given out again in another era. */
   readonly revision: number;
   readonly settings: RouteSettings;
 }
@@ -18,6 +21,11 @@
   applyUpstreamList(ids: ReadonlySet<string>, readAtMs: number): void;
   /** Called when all changes of upstreams up to the given monotonic time have been applied. */
   recordUpstreamsRead(readAtMs: number): void;
+  /**
+   * Called with the era of the settings service when it is first known and when it rises: the
+   * service has then come back from an older copy of its values.
+   */
+  recordEra(era: number): void;
   /** Called when the settings service becomes available or unavailable. */
   recordAvailability(isAvailable: boolean, detail: string): void;
   /** Called when a published value is invalid; it is ignored. */
--- a/packages/daemon/src/balancing/choose_engine_test.ts
+++ b/packages/daemon/src/balancing/choose_engine_test.ts
@@ -20,6 +20,7 @@
       slots: 24,
       isLeaving: false,
       slowForMs: 0,
+      sequence: 0,
       startedAt: 1,
     },
     status: "ready",
--- a/packages/daemon/src/fleet_hosts/host_report_schema.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_schema.ts
@@ -22,8 +22,10 @@
   isReady: z.boolean(),
   /** The host accepts no new callers and stops after its last request. */
   isLeaving: z.boolean(),
-  /** Revision of the published settings that are active on the host; 0 when there are none. */
-  settingsRevision: z.number().int().min(0),
+  /** Version of the published settings that are active on the host; 0 when there are none. */
+  settingsVersion: z.number().int().min(0),
+  /** How often the settings service has come back from an older copy, as far as the host knows. */
+  settingsEra: z.number().int().min(0),
   /** Hosts that this host lists as live, itself included: in the fleet and in its data centre. */
   knownHosts: z.number().int().min(1),
   knownInDataCentre: z.number().int().min(1),
--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -82,7 +82,8 @@
           peerAddress: getAddress(index),
           isReady: true,
           isLeaving: false,
-          settingsRevision: 1,
+          settingsVersion: 1,
+          settingsEra: 1,
           loads: loads.get(index) ?? [],
           conduct: Array.from(
             { length: count > 80 ? 3 : 12 },
--- a/packages/daemon/src/forwarding/record_upstream_loss_test.ts
+++ b/packages/daemon/src/forwarding/record_upstream_loss_test.ts
@@ -12,6 +12,7 @@
   slots: 4,
   isLeaving: false,
   slowForMs: 0,
+  sequence: 0,
   startedAt: 1,
   ...change,
 });
--- a/packages/daemon/src/gateway/apply_reported_upstreams.ts
+++ b/packages/daemon/src/gateway/apply_reported_upstreams.ts
@@ -27,6 +27,7 @@
       slots,
       slowForMs,
       startedAt,
+      sequence: 0,
       isLeaving: false,
     }, readAtMs);
   }
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -10,13 +10,14 @@
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
 import { createGatewayAnswers } from "./create_gateway_answers.ts";
-import { createRevisionNotices } from "./create_revision_notices.ts";
 import { createUpstreamReading } from "./create_upstream_reading.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
+import { createVersionNotices } from "./create_version_notices.ts";
 import { describeLoads } from "./describe_loads.ts";
 import { describeUpstreams } from "./describe_upstreams.ts";
 import { findPause } from "./find_pause.ts";
 import type { GatewayOptions } from "./gateway_options.ts";
+import { isNewerSettings } from "./is_newer_settings.ts";
 import { listSeedAddresses } from "./list_seed_addresses.ts";
 import { openHttpListener } from "./open_http_listener.ts";
 import { readPeerLoads } from "./read_peer_loads.ts";
@@ -47,6 +48,7 @@
   let leavingSinceMs = Number.POSITIVE_INFINITY;
   let isConfirmed = false;
   let readerRank = -1;
+  let era = 0;
   let timer: Timer | undefined;
   const readClocks = () => ({
     monotonicMs: clock.readMonotonicMs(),
@@ -65,8 +67,8 @@
     getReaderRank: () => readerRank,
     isOutageRecent: () => upstreams.isOutageRecent(),
   });
-  const revisions = createRevisionNotices({
-    readRevision: () => published?.revision,
+  const versions = createVersionNotices({
+    readVersion: () => published?.settings.version,
     refreshSettings: () => options.feed.refreshSettings(),
   });
   const upstreams = createUpstreamView({
@@ -90,7 +92,8 @@
     size: localHost.size,
     isReady: isReady(),
     isLeaving,
-    settingsRevision: published?.revision ?? 0,
+    settingsVersion: published?.settings.version ?? 0,
+    settingsEra: era,
     ...describeLoads(loads, hosts.listLive().length + 1),
     ...describeUpstreams(upstreams, reading),
   });
@@ -109,7 +112,8 @@
       const sentAtMs = clock.readMonotonicMs() - ageMs;
       loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
       applyReportedUpstreams(upstreams, reading, { report, ageMs }, clock.readMonotonicMs());
-      revisions.acceptRevision(report.settingsRevision);
+      versions.acceptVersion(report.settingsVersion);
+      recordEra(report.settingsEra, report.host);
     },
     handleJoined: () => promptParts.renewNotices(),
   });
@@ -150,8 +154,20 @@
     isLateInDrain: () => clock.readMonotonicMs() - leavingSinceMs >= GATEWAY_LIMITS.minDrainMs,
   });
 
+  const recordEra = (next: number, by: string) => {
+    if (next <= era) {
+      return;
+    }
+    const isRestored = era > 0;
+    era = next;
+    if (isRestored) {
+      logger.writeEvent("storeRestored", { era, by, version: published?.settings.version ?? -1 });
+      upstreams.recordRestore();
+      options.feed.refreshAll();
+    }
+  };
   const applySettings = (next: PublishedSettings) => {
-    if (published !== undefined && next.revision <= published.revision) {
+    if (!isNewerSettings(next, published)) {
       return;
     }
     published = next;
@@ -161,7 +177,7 @@
       server.keepAliveTimeout = limits.idleTimeoutMs;
     }
     metrics.gauge("settings.version", version);
-    logger.writeEvent("settingsInForce", { version, revision: next.revision });
+    logger.writeEvent("settingsInForce", { version, era: next.era, revision: next.revision });
     hosts.scheduleReport();
   };
 
@@ -257,6 +273,7 @@
             hosts.scheduleReport();
           }
         },
+        recordEra: (next) => recordEra(next, "settings service"),
         recordAvailability: (isAvailable, detail) => {
           upstreams.recordServiceResponding(isAvailable);
           logger.writeEvent(isAvailable ? "settingsFeedRegained" : "settingsFeedLost", {
--- a/packages/daemon/src/gateway/create_upstream_view.ts
+++ b/packages/daemon/src/gateway/create_upstream_view.ts
@@ -36,6 +36,8 @@
   isOutageRecent(): boolean;
   /** Applies another host's report that an upstream is draining. */
   markLeaving(id: string, startedAt: number, isAbsent: boolean, by: string): void;
+  /** Records that the settings service has come back from an older copy. */
+  recordRestore(): void;
   /** Records whether the settings service responds. */
   recordServiceResponding(isResponding: boolean): void;
   tick(): void;
@@ -104,6 +106,11 @@
         by,
         false,
       ),
+    recordRestore: () => {
+      state.restoredAtMs = clock.readMonotonicMs();
+      // The copy may lack records of the last seconds, which are written again.
+      state.lastOutageAtMs = state.restoredAtMs;
+    },
     recordServiceResponding: (isResponding) => {
       state.isSettingsServiceDown = !isResponding;
       state.lastOutageAtMs = clock.readMonotonicMs();
--- /dev/null
+++ b/packages/daemon/src/gateway/create_version_notices.ts
@@ -0,0 +1,31 @@
+/** Options of {@link createVersionNotices}. */
+export interface VersionNoticesOptions {
+  /** Returns the version that is in force on this host; undefined before the first one. */
+  readonly readVersion: () => number | undefined;
+  /** Reads the settings now. */
+  readonly refreshSettings: () => void;
+}
+
+/** Versions of the settings that other hosts have in force. */
+export interface VersionNotices {
+  acceptVersion(version: number): void;
+}
+
+/**
+ * Creates the reaction to other hosts' versions: a later one than this host has or was told of
+ * causes one read. It answers the load of a fleet in which each of many reports repeats the same
+ * version to a host that cannot read it; the feed repeats a failed read itself.
+ */
+export function createVersionNotices(options: VersionNoticesOptions): VersionNotices {
+  let requestedVersion = Number.NEGATIVE_INFINITY;
+  return {
+    acceptVersion: (version) => {
+      const known = options.readVersion();
+      if (known === undefined || version <= Math.max(known, requestedVersion)) {
+        return;
+      }
+      requestedVersion = version;
+      options.refreshSettings();
+    },
+  };
+}
--- a/packages/daemon/src/upstreams/apply_upstream_record.ts
+++ b/packages/daemon/src/upstreams/apply_upstream_record.ts
@@ -1,8 +1,9 @@
+import { isRestoredRecord } from "./is_restored_record.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
 import type { Upstream, UpstreamState } from "./upstream_state.ts";
 
 /**
- * Applies a published record; returns the upstream if its draining is new, or the former one,
+ * Applies a published record unless it comes from before a restore of the settings service; returns the upstream if its draining is new, or the former one,
  * with the status `gone`, if it was replaced.
  */
 export function applyUpstreamRecord(
@@ -11,6 +12,9 @@
   nowMs: number,
 ): Upstream | undefined {
   const known = state.upstreams.get(record.id);
+  if (isRestoredRecord(state, known, record, nowMs)) {
+    return undefined;
+  }
   const isSameIncarnation = known?.record.startedAt === record.startedAt &&
     known.record.address === record.address;
   const status = record.isLeaving ? "leaving" : "ready";
--- a/packages/daemon/src/upstreams/constants.ts
+++ b/packages/daemon/src/upstreams/constants.ts
@@ -5,6 +5,11 @@
    * documents.
    */
   lapseGraceMs: 2_300,
+  /**
+   * Time after a restore of the settings service in which records of upstreams that have left may
+   * stand in it: a record that is not renewed expires after three heartbeats.
+   */
+  restoreGraceMs: 5_000,
   /**
    * Time for which an upstream is excluded after a failed connection; a restart takes some seconds.
    */
--- a/packages/daemon/src/upstreams/create_upstream_state.ts
+++ b/packages/daemon/src/upstreams/create_upstream_state.ts
@@ -7,5 +7,6 @@
     unreachable: new Map(),
     isSettingsServiceDown: false,
     lastOutageAtMs: Number.NEGATIVE_INFINITY,
+    restoredAtMs: Number.NEGATIVE_INFINITY,
   };
 }
--- a/packages/daemon/src/upstreams/upstream_record.ts
+++ b/packages/daemon/src/upstreams/upstream_record.ts
@@ -12,4 +12,6 @@
   readonly slowForMs: number;
   /** Unix time of its start, in milliseconds; identifies an incarnation under the same id. */
   readonly startedAt: number;
+  /** Number of the write by this incarnation; 0 when another host reported the record. */
+  readonly sequence: number;
 }
--- a/packages/daemon/src/upstreams/upstream_state.ts
+++ b/packages/daemon/src/upstreams/upstream_state.ts
@@ -29,4 +29,6 @@
   isSettingsServiceDown: boolean;
   /** Monotonic time at which its availability last changed; removals soon after are uncertain. */
   lastOutageAtMs: number;
+  /** Monotonic time at which it last came back from an older copy. */
+  restoredAtMs: number;
 }
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -130,6 +130,12 @@
     title: "Settings service responds again",
     action: "none",
   },
+  storeRestored: {
+    number: 8034,
+    level: "warn",
+    title: "Settings service came back from an older copy; this host keeps its newer version",
+    action: "Check that the operator's last version is written again",
+  },
   upstreamJoined: { number: 8040, level: "info", title: "Upstream is ready", action: "none" },
   upstreamLeft: {
     number: 8041,
