Resume a generation from its backup copy only after its first event

A generation without an event has nothing to resume, and its copy may not exist; each repeated request is another occasion for a faulty engine to start it. It now ends with an unknown outcome, and only one that has sent an event is resumed.

--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -22,7 +22,9 @@
     const copy = findBackupCopy(context, run);
     const isSuspected = isHeldBack(context, run.request) ||
       context.promptParts.isSuspected(run.request.partKeys);
-    if (copy === undefined || isSuspected) {
+    // Without an event there may be no copy, and a faulty engine could start the request again.
+    const hasEvent = run.lastEventId !== undefined;
+    if (copy === undefined || !hasEvent || isSuspected) {
       endInterrupted(context, run, reason);
       return;
     }
