Take an upstream's word in any response that it leaves

An upstream that leaves says so in all its responses; this code waited for its record, so requests kept reaching it when the store was slow or away. Every exchange with an upstream, copies of KV caches included, is now observed in one place: Server-Leaving marks that incarnation as draining at once, urgent reports tell the other hosts, its generations move, and a record that still says ready does not bring it back; a new incarnation is free of it. A response belongs to the upstream known at the address when the request was sent.

--- a/packages/daemon/src/adapters/deployment_dialect.ts
+++ b/packages/daemon/src/adapters/deployment_dialect.ts
@@ -36,12 +36,22 @@
   readonly lastEventId?: number;
 }
 
+/** What an upstream says of itself in the header of a response. */
+export interface UpstreamSignals {
+  /** It drains. */
+  readonly isLeaving: boolean;
+  /** Headers of the response for the caller, names and values alternating. */
+  readonly headers: readonly string[];
+}
+
 /** Names and formats of headers in a deployment; raw headers alternate names and values. */
 export interface DeploymentDialect {
   decodeRequest(rawHeaders: readonly string[]): CallerRequestHead;
   /** Renders the caller's headers for an upstream without hop-by-hop headers; adds `fields`. */
   encodeRequest(rawHeaders: readonly string[], fields: UpstreamRequestFields): string[];
   decodeAnswer(status: number, rawHeaders: readonly string[]): AnswerHead;
+  /** Decodes what an upstream says of itself in any response. */
+  decodeSignals(status: number, rawHeaders: readonly string[]): UpstreamSignals;
   /** Renders the headers that tell a caller when to retry. */
   encodeRetryAdvice(retryAfterMs: number): string[];
 }
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -6,10 +6,12 @@
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
 import { createPromptPartQuarantine, createQuarantine } from "../quarantine/mod.ts";
+import { findUpstreamAt } from "../upstreams/mod.ts";
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
 import { createGatewayAnswers } from "./create_gateway_answers.ts";
+import { createObservedExchange } from "./create_observed_exchange.ts";
 import { createUpstreamReading } from "./create_upstream_reading.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
 import { createVersionNotices } from "./create_version_notices.ts";
@@ -117,6 +119,16 @@
     },
     handleJoined: () => promptParts.renewNotices(),
   });
+  const openExchange = createObservedExchange({
+    openExchange: options.openExchange,
+    dialect,
+    findUpstream: (address) => findUpstreamAt(upstreams.state, address),
+    recordSignals: (upstream, { isLeaving: isUpstreamLeaving }) => {
+      if (isUpstreamLeaving) {
+        upstreams.markLeavingBySignal(upstream);
+      }
+    },
+  });
   const quarantine = createQuarantine({
     context: { clock, logger, random },
     membership: hosts,
@@ -133,8 +145,8 @@
       logger,
       metrics,
       dialect,
-      openExchange: options.openExchange,
-      kvCache: options.kvCache,
+      openExchange,
+      kvCache: options.createKvCache(openExchange),
       upstreams: upstreams.state,
       loads,
       quarantine,
--- /dev/null
+++ b/packages/daemon/src/gateway/create_observed_exchange.ts
@@ -0,0 +1,35 @@
+import type { DeploymentDialect, UpstreamSignals } from "../adapters/deployment_dialect.ts";
+import type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
+import type { Upstream } from "../upstreams/mod.ts";
+
+/** Options of {@link createObservedExchange}. */
+export interface ObservedExchangeOptions {
+  readonly openExchange: OpenUpstreamExchange;
+  readonly dialect: Pick<DeploymentDialect, "decodeSignals">;
+  /** Finds the upstream that is known at an address. */
+  readonly findUpstream: (address: string) => Upstream | undefined;
+  readonly recordSignals: (upstream: Upstream, signals: UpstreamSignals) => void;
+}
+
+/**
+ * Wraps an exchange so that each response of an upstream, to whatever request, is read for what the
+ * upstream says of itself. The upstream is the one known when the request is sent: another one may
+ * have its address when the response arrives.
+ */
+export function createObservedExchange(options: ObservedExchangeOptions): OpenUpstreamExchange {
+  return (request, handler) => {
+    const upstream = options.findUpstream(request.address);
+    return options.openExchange(request, {
+      receiveHead: (status, statusText, rawHeaders) => {
+        const signals = options.dialect.decodeSignals(status, rawHeaders);
+        if (upstream !== undefined) {
+          options.recordSignals(upstream, signals);
+        }
+        handler.receiveHead(status, statusText, signals.headers);
+      },
+      receiveData: (chunk) => handler.receiveData(chunk),
+      end: () => handler.end(),
+      fail: (isSent, reason) => handler.fail(isSent, reason),
+    });
+  };
+}
--- a/packages/daemon/src/gateway/create_upstream_view.ts
+++ b/packages/daemon/src/gateway/create_upstream_view.ts
@@ -36,6 +36,8 @@
   isOutageRecent(): boolean;
   /** Applies another host's report that an upstream is draining. */
   markLeaving(id: string, startedAt: number, isAbsent: boolean, by: string): void;
+  /** Applies an upstream's own word, in a response to this host, that it is draining. */
+  markLeavingBySignal(upstream: Upstream): void;
   /** Records that the settings service has come back from an older copy. */
   recordRestore(): void;
   /** Records whether the settings service responds. */
@@ -106,6 +108,11 @@
         by,
         false,
       ),
+    markLeavingBySignal: ({ record: { id, startedAt } }) =>
+      reportLeaving(
+        markUpstreamLeaving(state, id, startedAt, false, clock.readMonotonicMs()),
+        "response",
+      ),
     recordRestore: () => {
       state.restoredAtMs = clock.readMonotonicMs();
       // The copy may lack records of the last seconds, which are written again.
--- a/packages/daemon/src/gateway/gateway_options.ts
+++ b/packages/daemon/src/gateway/gateway_options.ts
@@ -18,7 +18,8 @@
   readonly dialect: DeploymentDialect;
   readonly directory: DeploymentDirectory;
   readonly feed: DeploymentFeed;
-  readonly kvCache: KvCacheClient;
+  /** Creates the client that copies KV caches, over the given exchange. */
+  readonly createKvCache: (openExchange: OpenUpstreamExchange) => KvCacheClient;
   readonly openExchange: OpenUpstreamExchange;
   readonly openSocket: OpenDatagramSocket;
 }
--- a/packages/daemon/src/upstreams/mark_upstream_leaving.ts
+++ b/packages/daemon/src/upstreams/mark_upstream_leaving.ts
@@ -1,9 +1,9 @@
 import type { Upstream, UpstreamState } from "./upstream_state.ts";
 
 /**
- * Applies another host's report that one incarnation of an upstream is draining; returns the
- * upstream if its status changed. `isAbsent` states that the other host only found the record
- * missing.
+ * Applies the upstream's own word or another host's report that one incarnation of an upstream is
+ * draining; returns the upstream if its status changed. `isAbsent` states that the other host only
+ * found the record missing.
  */
 export function markUpstreamLeaving(
   state: UpstreamState,
@@ -14,11 +14,14 @@
 ): Upstream | undefined {
   const known = state.upstreams.get(id);
   if (
-    known === undefined || known.record.startedAt !== startedAt ||
-    known.status === "leaving" || known.status === "gone"
+    known === undefined || known.record.startedAt !== startedAt || known.status === "gone"
   ) {
     return undefined;
   }
+  if (known.status === "leaving") {
+    state.upstreams.set(id, { ...known, isAbsent: known.isAbsent && isAbsent });
+    return undefined;
+  }
   const upstream: Upstream = { ...known, status: "leaving", sinceMs: nowMs, isAbsent };
   state.upstreams.set(id, upstream);
   return upstream;
--- a/packages/daemon/src/upstreams/mod.ts
+++ b/packages/daemon/src/upstreams/mod.ts
@@ -5,6 +5,7 @@
 export { UPSTREAM_LIMITS } from "./constants.ts";
 export { createUpstreamState } from "./create_upstream_state.ts";
 export { expireUpstreams } from "./expire_upstreams.ts";
+export { findUpstreamAt } from "./find_upstream_at.ts";
 export { isUpstreamReachable } from "./is_upstream_reachable.ts";
 export { listAbsentUpstreams } from "./list_absent_upstreams.ts";
 export { listUsableUpstreams } from "./list_usable_upstreams.ts";
