Send an upstream nothing while it asks for a pause

An upstream that refuses with 503 and Retry-After wants nothing from this host for that time; this code repeated refused resumes every 200 ms and sent new requests at once. The observation of responses now records the pause for that incarnation. Requests, retries, resumes, migrations and backup copies leave it out, other hosts are told and prefer other upstreams, and its end is spread by up to 500 ms. If all upstreams of a service pause, a generation waits when the first pause ends in its time, and any other request is refused at once with the true Retry-After.

--- a/packages/daemon/src/adapters/deployment_dialect.ts
+++ b/packages/daemon/src/adapters/deployment_dialect.ts
@@ -40,6 +40,8 @@
 export interface UpstreamSignals {
   /** It drains. */
   readonly isLeaving: boolean;
+  /** Time for which it wants no request from this host, in milliseconds; 0 for none. */
+  readonly pauseMs: number;
   /** Headers of the response for the caller, names and values alternating. */
   readonly headers: readonly string[];
 }
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -27,6 +27,8 @@
   retryAfterMs: 800,
   /** Maximum random jitter added to that delay, so that callers do not retry together. */
   retrySpreadMs: 1_200,
+  /** Maximum random jitter added to the end of a pause that all upstreams of a service ask for. */
+  pauseRetrySpreadMs: 500,
   /** Timeout for copying a KV cache while the generation keeps running. */
   cacheCopyTimeoutMs: 5_000,
   /** Delay before a retry of an incomplete backup copy; it is updated several times a second. */
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -1,4 +1,5 @@
 import type { KvCacheSource } from "../adapters/deployment_dialect.ts";
+import { getPauseMs } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
@@ -70,7 +71,7 @@
       excluded: new Set([...excluded, source.record.id]),
       nearDataCentre: source.record.dataCentre,
     })?.upstream;
-    if (target === undefined) {
+    if (target === undefined || isPausing(context, source)) {
       excluded.clear(); // a target that failed once may succeed on a retry
       await waitFor(context.clock, FORWARDING_LIMITS.migrationRetryMs);
       continue;
@@ -126,7 +127,7 @@
   way: "copy" | "move",
 ): Promise<boolean> {
   const { stream, request } = run;
-  if (stream === undefined || run.phase !== "running") {
+  if (stream === undefined || run.phase !== "running" || isPausing(context, upstream)) {
     return false;
   }
   if (way === "copy") {
@@ -160,6 +161,10 @@
   return hasResumed;
 }
 
+function isPausing(context: ForwardingContext, { record }: Upstream): boolean {
+  return getPauseMs(context.upstreams, record, context.clock.readMonotonicMs()) > 0;
+}
+
 function releaseBufferedEvents(
   context: ForwardingContext,
   run: GenerationRun,
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -1,3 +1,4 @@
+import { getPauseMs } from "../upstreams/mod.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { decideRestoreRetry } from "./decide_restore_retry.ts";
 import { findBackupCopy } from "./find_backup_copy.ts";
@@ -18,6 +19,12 @@
 ): void {
   const startMs = context.clock.readMonotonicMs();
   const budget = getServiceBudget(context, run.request.service.name);
+  const retryAfter = (delayMs: number) =>
+    context.clock.startTimer(delayMs, () => {
+      if (run.phase === "switching") {
+        tryRestore();
+      }
+    });
   const tryRestore = () => {
     const copy = findBackupCopy(context, run);
     const isSuspected = isHeldBack(context, run.request) ||
@@ -30,7 +37,25 @@
     }
     run.phase = "switching";
     run.stream?.exchange?.abort();
-    const elapsedMs = context.clock.readMonotonicMs() - startMs;
+    const nowMs = context.clock.readMonotonicMs();
+    const elapsedMs = nowMs - startMs;
+    const pauseMs = getPauseMs(context.upstreams, copy.upstream.record, nowMs);
+    if (pauseMs > 0) {
+      const endMs = Math.min(
+        startMs + FORWARDING_LIMITS.restoreTimeoutMs,
+        run.request.deadlineAtMs,
+      );
+      if (nowMs + pauseMs >= endMs) {
+        endInterrupted(
+          context,
+          run,
+          `${reason}; the upstream with the backup copy asks for a pause`,
+        );
+        return;
+      }
+      retryAfter(pauseMs);
+      return;
+    }
     resumeGeneration(context, run, {
       ...copy,
       way: "copy",
@@ -53,11 +78,7 @@
           return;
         }
         budget.countRetry();
-        context.clock.startTimer(FORWARDING_LIMITS.backupRetryMs, () => {
-          if (run.phase === "switching") {
-            tryRestore();
-          }
-        });
+        retryAfter(FORWARDING_LIMITS.backupRetryMs);
       },
     });
   };
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -2,11 +2,12 @@
 import type { InFlightRequest, UpstreamCandidate } from "../balancing/mod.ts";
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { decideRetry, hasNotExecuted } from "../retries/mod.ts";
-import { listUsableUpstreams } from "../upstreams/mod.ts";
+import { findShortestPause, listUsableUpstreams } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
+import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createGenerationStream } from "./create_generation_stream.ts";
 import type { WaitQueue } from "./create_wait_queue.ts";
@@ -112,7 +113,8 @@
       return;
     }
     if (decision === "notRun") {
-      request.reply.refuse("noUpstreamLeft", failure.reason, computeRetryAfter(context.random));
+      const retryAfterMs = computeServiceRetryAfter(context, request.service.name);
+      request.reply.refuse("noUpstreamLeft", failure.reason, retryAfterMs);
       run.finish("notRun");
       return;
     }
@@ -202,17 +204,20 @@
     }
     const nowMs = context.clock.readMonotonicMs();
     const usable = listUsableUpstreams(context.upstreams, request.service.name, nowMs);
-    if (usable.every(({ record }) => excluded.has(record.id))) {
-      const detail = `service ${request.service.name} has no upstream left to try`;
-      request.reply.refuse("noUpstreamLeft", detail, computeRetryAfter(context.random));
-      run.finish("noUpstreamLeft");
-      return;
-    }
     const { targetMs } = request.route;
     const waitMs = Math.min(
       targetMs * MAX_WAIT_TARGET_FACTOR,
       (request.deadlineAtMs - request.arrivedAtMs) * MAX_WAIT_TIMEOUT_SHARE,
     );
+    const { name } = request.service;
+    const pauseMs = findShortestPause(context.upstreams, name, nowMs, excluded) ?? Infinity;
+    const isPauseShort = nowMs + pauseMs < request.arrivedAtMs + waitMs;
+    if (usable.every(({ record }) => excluded.has(record.id)) && !isPauseShort) {
+      const detail = `service ${name} has no upstream left to try`;
+      request.reply.refuse("noUpstreamLeft", detail, computeServiceRetryAfter(context, name));
+      run.finish("noUpstreamLeft");
+      return;
+    }
     const isAdded = options.waitQueue.add({
       priority: request.priority,
       arrivedAtMs: request.arrivedAtMs,
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -10,7 +10,7 @@
 import type { CollectedAnswer } from "./collect_answer.ts";
 import { recordUpstreamLoss } from "./record_upstream_loss.ts";
 import { recordReachability } from "./record_reachability.ts";
-import { computeRetryAfter } from "./compute_retry_after.ts";
+import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
@@ -180,7 +180,8 @@
     return "unknown";
   }
   const detail = `service ${request.service.name} has no upstream left to try`;
-  request.reply.refuse("noUpstreamLeft", detail, computeRetryAfter(context.random));
+  const retryAfterMs = computeServiceRetryAfter(context, request.service.name);
+  request.reply.refuse("noUpstreamLeft", detail, retryAfterMs);
   return "noUpstreamLeft";
 }
 
@@ -196,7 +197,8 @@
     return answer.outcome;
   }
   if (decision === "notRun") {
-    reply.refuse("noUpstreamLeft", answer.reason, computeRetryAfter(context.random));
+    const retryAfterMs = computeServiceRetryAfter(context, request.service.name);
+    reply.refuse("noUpstreamLeft", answer.reason, retryAfterMs);
     return "notRun";
   }
   // Timers have millisecond resolution and fire up to 2 ms early by the monotonic clock.
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -12,6 +12,7 @@
 import { GATEWAY_LIMITS } from "./constants.ts";
 import { createGatewayAnswers } from "./create_gateway_answers.ts";
 import { createObservedExchange } from "./create_observed_exchange.ts";
+import { createPauseNotices } from "./create_pause_notices.ts";
 import { createUpstreamReading } from "./create_upstream_reading.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
 import { createVersionNotices } from "./create_version_notices.ts";
@@ -119,14 +120,25 @@
     },
     handleJoined: () => promptParts.renewNotices(),
   });
+  const pauses = createPauseNotices({
+    clock,
+    random,
+    logger,
+    metrics,
+    state: upstreams.state,
+    hosts,
+  });
   const openExchange = createObservedExchange({
     openExchange: options.openExchange,
     dialect,
     findUpstream: (address) => findUpstreamAt(upstreams.state, address),
-    recordSignals: (upstream, { isLeaving: isUpstreamLeaving }) => {
-      if (isUpstreamLeaving) {
+    recordSignals: (upstream, signals) => {
+      if (signals.isLeaving) {
         upstreams.markLeavingBySignal(upstream);
       }
+      if (signals.pauseMs > 0) {
+        pauses.recordPause(upstream, signals.pauseMs);
+      }
     },
   });
   const quarantine = createQuarantine({
--- a/packages/daemon/src/upstreams/constants.ts
+++ b/packages/daemon/src/upstreams/constants.ts
@@ -14,6 +14,12 @@
    * Time for which an upstream is excluded after a failed connection; a restart takes some seconds.
    */
   unreachableMs: 1_000,
+  /** Longest pause that an upstream can ask for. */
+  maxPauseMs: 600_000,
+  /** Maximum random time added to a pause, so that not all hosts return at its end. */
+  pauseSpreadMs: 500,
+  /** The same limit as a share of the pause; the smaller applies. */
+  pauseSpreadShare: 0.25,
   /**
    * Time for which removed upstreams are kept. They still serve for some seconds at most; the
    * duration of the longest request determines the value.
--- a/packages/daemon/src/upstreams/create_upstream_state.ts
+++ b/packages/daemon/src/upstreams/create_upstream_state.ts
@@ -5,6 +5,8 @@
   return {
     upstreams: new Map(),
     unreachable: new Map(),
+    pauses: new Map(),
+    pausesElsewhere: new Map(),
     isSettingsServiceDown: false,
     lastOutageAtMs: Number.NEGATIVE_INFINITY,
     restoredAtMs: Number.NEGATIVE_INFINITY,
--- a/packages/daemon/src/upstreams/expire_upstreams.ts
+++ b/packages/daemon/src/upstreams/expire_upstreams.ts
@@ -12,6 +12,16 @@
       state.unreachable.delete(id);
     }
   }
+  for (const [id, { untilMs }] of state.pauses) {
+    if (untilMs <= nowMs) {
+      state.pauses.delete(id);
+    }
+  }
+  for (const [id, untilMs] of state.pausesElsewhere) {
+    if (untilMs <= nowMs) {
+      state.pausesElsewhere.delete(id);
+    }
+  }
   for (const [id, upstream] of state.upstreams) {
     if (upstream.status === "leaving" || upstream.status === "gone") {
       if (nowMs - upstream.sinceMs > UPSTREAM_LIMITS.retentionMs) {
--- a/packages/daemon/src/upstreams/upstream_state.ts
+++ b/packages/daemon/src/upstreams/upstream_state.ts
@@ -20,11 +20,21 @@
   readonly slowUntilMs: number;
 }
 
+/** A pause that one incarnation of an upstream has asked for. */
+export interface UpstreamPause {
+  readonly startedAt: number;
+  readonly untilMs: number;
+}
+
 /** Upstreams by id. Bounded by the published list and those removed within the retention time. */
 export interface UpstreamState {
   readonly upstreams: Map<string, Upstream>;
   /** Upstreams to which a connection of this host failed: monotonic time of expiry, by id. */
   readonly unreachable: Map<string, number>;
+  /** Upstreams that want no request from this host, by id. */
+  readonly pauses: Map<string, UpstreamPause>;
+  /** Upstreams that want none from another host: monotonic time of expiry, by id. */
+  readonly pausesElsewhere: Map<string, number>;
   /** The settings service does not respond; removals during this time are uncertain. */
   isSettingsServiceDown: boolean;
   /** Monotonic time at which its availability last changed; removals soon after are uncertain. */
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -149,6 +149,12 @@
     title: "Record of an upstream expired around an outage of the settings service",
     action: "none; the upstream is drained unless its record returns within the grace period",
   },
+  upstreamPaused: {
+    number: 8043,
+    level: "info",
+    title: "Upstream asked this host for a pause and receives nothing from it meanwhile",
+    action: "If many do, the service has too few upstreams",
+  },
   hostJoined: {
     number: 8050,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -140,6 +140,11 @@
     unit: "upstreams",
     meaning: "Known upstreams, by tag `status`",
   },
+  "upstreams.pauses": {
+    type: "counter",
+    unit: "pauses",
+    meaning: "Pauses that upstreams have asked this host for",
+  },
   "hosts.rejected": {
     type: "counter",
     unit: "datagrams",
