--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -104,7 +104,7 @@
     if (run.phase === "running" && run.sentEvents === 0 && isHeldBack(context, request)) {
       // Its engine may still be reading the prompt; ending the request then avoids another crash.
       request.reply.refuse("outcomeUnknown", REFUSAL_DETAILS.requestHeldBack);
-      run.finish("heldBack");
+      run.finish("unknown");
       return;
     }
     const isSilent = nowMs - run.lastEventAtMs > FORWARDING_LIMITS.eventTimeoutMs;
