Log the limits that upstreams name, and count the requests sent to them

Cause: no line of a host says whether and when it learned of an upstream's limit, so the hypotheses of the incident cannot be told apart. Change: the header is decoded from every response (a decimal number; anything else names no limit that can be read), with the time of its request and its arrival, because a response may be older than another that came before it. Events 8044 and 8045, a gauge and a counter. No decision reads them yet.

--- a/packages/daemon/src/adapters/deployment_dialect.ts
+++ b/packages/daemon/src/adapters/deployment_dialect.ts
@@ -42,6 +42,11 @@
   readonly isLeaving: boolean;
   /** Time for which it wants no request from this host, in milliseconds; 0 for none. */
   readonly pauseMs: number;
+  /**
+   * Requests a second that it takes from all hosts together: undefined if it names no limit,
+   * `unreadable` if it names one that is no number.
+   */
+  readonly limitPerSecond: number | "unreadable" | undefined;
   /** Headers of the response for the caller, names and values alternating. */
   readonly headers: readonly string[];
 }
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -6,6 +6,7 @@
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
 import { createPromptPartQuarantine, createQuarantine } from "../quarantine/mod.ts";
+import { createLimitTable } from "../upstream_limits/mod.ts";
 import { findUpstreamAt } from "../upstreams/mod.ts";
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
@@ -128,17 +129,31 @@
     state: upstreams.state,
     hosts,
   });
+  const limits = createLimitTable({ logger, metrics });
   const openExchange = createObservedExchange({
     openExchange: options.openExchange,
     dialect,
     findUpstream: (address) => findUpstreamAt(upstreams.state, address),
-    recordSignals: (upstream, signals) => {
+    readMonotonicMs: clock.readMonotonicMs,
+    recordRequest: ({ record }) => {
+      if (limits.getLimit(record) !== undefined) {
+        metrics.increment("upstreams.limitedRequests");
+      }
+    },
+    recordSignals: (upstream, signals, sentAtMs) => {
       if (signals.isLeaving) {
         upstreams.markLeavingBySignal(upstream);
       }
       if (signals.pauseMs > 0) {
         pauses.recordPause(upstream, signals.pauseMs);
       }
+      if (signals.limitPerSecond !== "unreadable") {
+        limits.recordObservation(upstream.record, {
+          perSecond: signals.limitPerSecond,
+          sentAtMs,
+          receivedAtMs: clock.readMonotonicMs(),
+        }, "response");
+      }
     },
   });
   const quarantine = createQuarantine({
@@ -269,6 +284,7 @@
         loads.conduct.delete(id);
       }
     }
+    limits.prune((id) => upstreams.state.upstreams.has(id));
     timer = clock.startTimer(GATEWAY_LIMITS.tickMs, tick);
   };
 
--- a/packages/daemon/src/gateway/create_observed_exchange.ts
+++ b/packages/daemon/src/gateway/create_observed_exchange.ts
@@ -8,7 +8,11 @@
   readonly dialect: Pick<DeploymentDialect, "decodeSignals">;
   /** Finds the upstream that is known at an address. */
   readonly findUpstream: (address: string) => Upstream | undefined;
-  readonly recordSignals: (upstream: Upstream, signals: UpstreamSignals) => void;
+  readonly readMonotonicMs: () => number;
+  /** Called when a request is sent to a known upstream. */
+  readonly recordRequest: (upstream: Upstream) => void;
+  /** Receives the signals of a response and the monotonic time at which its request was sent. */
+  readonly recordSignals: (upstream: Upstream, signals: UpstreamSignals, sentAtMs: number) => void;
 }
 
 /**
@@ -19,11 +23,15 @@
 export function createObservedExchange(options: ObservedExchangeOptions): OpenUpstreamExchange {
   return (request, handler) => {
     const upstream = options.findUpstream(request.address);
+    const sentAtMs = options.readMonotonicMs();
+    if (upstream !== undefined) {
+      options.recordRequest(upstream);
+    }
     return options.openExchange(request, {
       receiveHead: (status, statusText, rawHeaders) => {
         const signals = options.dialect.decodeSignals(status, rawHeaders);
         if (upstream !== undefined) {
-          options.recordSignals(upstream, signals);
+          options.recordSignals(upstream, signals, sentAtMs);
         }
         handler.receiveHead(status, statusText, signals.headers);
       },
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -155,6 +155,18 @@
     title: "Upstream asked this host for a pause and receives nothing from it meanwhile",
     action: "If many do, the service has too few upstreams",
   },
+  upstreamLimitNamed: {
+    number: 8044,
+    level: "info",
+    title: "Upstream named a limit, or another one, for the requests of all hosts together",
+    action: "If many do, the service has too few upstreams",
+  },
+  upstreamLimitEnded: {
+    number: 8045,
+    level: "info",
+    title: "Upstream names no limit any more",
+    action: "none",
+  },
   hostJoined: {
     number: 8050,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -145,6 +145,16 @@
     unit: "pauses",
     meaning: "Pauses that upstreams have asked this host for",
   },
+  "upstreams.limited": {
+    type: "gauge",
+    unit: "upstreams",
+    meaning: "Upstreams that name a limit for the requests of all hosts together",
+  },
+  "upstreams.limitedRequests": {
+    type: "counter",
+    unit: "requests",
+    meaning: "Requests of any kind that this host sent to upstreams that name a limit",
+  },
   "hosts.rejected": {
     type: "counter",
     unit: "datagrams",
