Keep the limits that upstreams name over all hosts together

What callers saw: nothing yet; an upstream in need got 38 requests in 4 s from hosts that it had told a limit of 1.7 a second (15 allowed), and would go on failing. Change: one live host for each limited upstream, by rendezvous hash, owns its limit and grants permits at its rate; everything sent to the upstream needs one (first attempts, retries, resumes, copies). Hosts request them over the reports' socket. Other upstreams with room come first; a request waits for a permit that comes in its time, the most urgent first, and is refused at once otherwise, each caller with a time of its own. Limits travel in reports and in the requests for permits. Why it works: a single bucket is exact at any rate and wherever callers come in. A new owner starts without permits and a paused one saves none up; the part of a split fleet without a majority grants only its share, so all parts together stay below one and a half times the limit.

--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -30,6 +30,8 @@
   relayTakeoverMs: 250,
   /** Largest body of a datagram; with the headers it fits into a packet of 1,500 bytes. */
   maxBatchBytes: 1_350,
+  /** Largest number of messages in a datagram. */
+  maxMessages: 16,
   /** In a large fleet, the delay after which a change that is not urgent is reported. */
   changeDelayMs: 100,
   /** Minimum interval between two sets of reports sent to a host that knows fewer hosts. */
--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -13,6 +13,7 @@
 import { expireHosts } from "./expire_hosts.ts";
 import { hasFewHosts } from "./has_few_hosts.ts";
 import type { AgedReport, HostDatagram } from "./host_datagram.ts";
+import type { HostMessage } from "./host_message.ts";
 import type { HostReport } from "./host_report_schema.ts";
 import type { HostState } from "./host_state.ts";
 import { listLiveHosts } from "./list_live_hosts.ts";
@@ -48,6 +49,9 @@
   "sequence" | "intervalMs" | "peers" | "notices" | "knownHosts" | "knownInDataCentre"
 >;
 
+/** Receives the payload of a message and the peer address of its sender. */
+export type MessageListener = (payload: unknown, senderAddress: string) => void;
+
 /** The other hosts of the fleet. */
 export interface FleetHosts extends Pick<HostNotices, "publishNotice" | "subscribeNotices"> {
   start(): Promise<void>;
@@ -58,6 +62,15 @@
   scheduleReport(): void;
   setSeeds(seeds: readonly string[]): void;
   listLive(): HostReport[];
+  /** Sends a message to a host's peer address; it may be lost. */
+  sendMessage(address: string, message: HostMessage): void;
+  /** Registers the receiver of the messages of a topic. */
+  subscribeMessages(topic: string, listener: MessageListener): void;
+  /**
+   * Counts the hosts that have been live within the last minute and have not reported that they
+   * leave, this one included.
+   */
+  countRecent(): number;
   /** Counts the hosts that may use the retry budget, this one included. */
   countHostsSharingRetryBudget(): number;
 }
@@ -70,6 +83,7 @@
   const { clock, random, logger, metrics, localHost } = options;
   const state: HostState = { hosts: new Map(), addresses: new Map() };
   const newAddresses = new Set<string>();
+  const messageListeners = new Map<string, MessageListener>();
   const knownReportsSentMs = new Map<string, number>();
   let seeds = new Set(options.seeds);
   let live = new Set<string>();
@@ -120,6 +134,9 @@
       return;
     }
     datagram.reports.forEach((received) => acceptReport(received, datagram));
+    for (const { topic, payload } of datagram.messages) {
+      messageListeners.get(topic)?.(payload, datagram.senderAddress);
+    }
   };
   const acceptReport = (received: AgedReport, sender: HostDatagram) => {
     const { report, ageMs } = received;
@@ -296,6 +313,11 @@
       seeds = new Set(next);
     },
     listLive,
+    sendMessage: (address, message) =>
+      socket?.send(address, encodeHostDatagram(localSender, [], options.fleetKey, [message])),
+    subscribeMessages: (topic, listener) => messageListeners.set(topic, listener),
+    countRecent: () =>
+      [...state.hosts.values()].filter(({ report }) => !report.isLeaving).length + 1,
     countHostsSharingRetryBudget: () => listRecent().length + 1,
   };
 }
--- a/packages/daemon/src/fleet_hosts/decode_host_datagram.ts
+++ b/packages/daemon/src/fleet_hosts/decode_host_datagram.ts
@@ -11,7 +11,8 @@
 const bodySchema = z.tuple([
   z.string(),
   z.string().max(200),
-  z.array(z.tuple([z.number().min(0), z.instanceof(Uint8Array)])).min(1).max(HOST_LIMITS.maxHosts),
+  z.array(z.tuple([z.number().min(0), z.instanceof(Uint8Array)])).max(HOST_LIMITS.maxHosts),
+  z.array(z.tuple([z.string().max(64), z.unknown()])).max(HOST_LIMITS.maxMessages),
 ]);
 
 /**
@@ -31,7 +32,7 @@
   if (!parsed.success) {
     return undefined;
   }
-  const [senderAddress, senderDataCentre, items] = parsed.data;
+  const [senderAddress, senderDataCentre, items, parts] = parsed.data;
   const reports: AgedReport[] = [];
   for (const [ageMs, bytes] of items) {
     const report = decodeReport(bytes);
@@ -40,7 +41,8 @@
     }
     reports.push({ report, ageMs });
   }
-  return { senderAddress, senderDataCentre, reports };
+  const messages = parts.map(([topic, payload]) => ({ topic, payload }));
+  return { senderAddress, senderDataCentre, reports, messages };
 }
 
 function decodeReport(bytes: Uint8Array): HostReport | undefined {
--- a/packages/daemon/src/fleet_hosts/host_datagram.ts
+++ b/packages/daemon/src/fleet_hosts/host_datagram.ts
@@ -1,3 +1,4 @@
+import type { HostMessage } from "./host_message.ts";
 import type { HostReport } from "./host_report_schema.ts";
 
 /** A report and the time since its host sent it, in milliseconds. */
@@ -6,10 +7,11 @@
   readonly ageMs: number;
 }
 
-/** Reports that one host sends to another: its own, those that it forwards, or both. */
+/** What one host sends to another: reports, its own and those that it forwards, or messages. */
 export interface HostDatagram {
   /** Peer address of the sender, `ip:port`. */
   readonly senderAddress: string;
   readonly senderDataCentre: string;
   readonly reports: readonly AgedReport[];
+  readonly messages: readonly HostMessage[];
 }
--- a/packages/daemon/src/fleet_hosts/host_report_fields.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_fields.ts
@@ -21,6 +21,7 @@
   "conduct",
   "leaving",
   "joined",
+  "limits",
   "notices",
   "peers",
 ] as const satisfies readonly (keyof HostReport)[];
--- a/packages/daemon/src/fleet_hosts/host_report_schema.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_schema.ts
@@ -63,6 +63,17 @@
     z.number(),
     z.number(),
   ])).max(64),
+  /**
+   * Limits of upstreams, as the host observed or as it owns them: id, start, requests a second or
+   * null when it has ended, and the times since the request was sent and the response received.
+   */
+  limits: z.array(z.tuple([
+    z.string(),
+    z.number(),
+    z.number().min(0).nullable(),
+    z.number().min(0),
+    z.number().min(0),
+  ])).max(64),
   /** Notices for all hosts: topic, key, remaining lifetime in milliseconds, unvalidated payload. */
   notices: z.array(z.tuple([
     z.string().max(64),
--- a/packages/daemon/src/fleet_hosts/host_state_test.ts
+++ b/packages/daemon/src/fleet_hosts/host_state_test.ts
@@ -35,6 +35,7 @@
   conduct: [["u1", 5.5, 8.25, 0.1]],
   leaving: [["u2", 12, false]],
   joined: [["u3", "desk", "10.0.0.7:80", "a", 4, 500, 13]],
+  limits: [["u4", 12, 2.4, 90, 30], ["u5", 12, null, 90, 30]],
   notices: [["t", "k", 500, { type: "seen" }]],
   peers: ["10.0.0.2:7200"],
   ...change,
@@ -50,6 +51,7 @@
       { report: createReport(), ageMs: 0 },
       { report: createReport({ host: "h2", conduct: null }), ageMs: 120 },
     ],
+    messages: [{ topic: "t", payload: { type: "request" } }],
   };
 
   const encode = () =>
@@ -57,6 +59,7 @@
       { address: DATAGRAM.senderAddress, dataCentre: DATAGRAM.senderDataCentre },
       DATAGRAM.reports.map(({ report, ageMs }) => ({ bytes: encodeHostReport(report), ageMs })),
       KEY,
+      DATAGRAM.messages,
     );
 
   it("are decoded as they were encoded, and only with the fleet's key", () => {
--- a/packages/daemon/src/fleet_hosts/mod.ts
+++ b/packages/daemon/src/fleet_hosts/mod.ts
@@ -5,6 +5,7 @@
 export { HOST_LIMITS } from "./constants.ts";
 export { createHostNotices } from "./create_host_notices.ts";
 export { createFleetHosts } from "./create_fleet_hosts.ts";
-export type { FleetHosts, LocalReport } from "./create_fleet_hosts.ts";
+export type { FleetHosts, LocalReport, MessageListener } from "./create_fleet_hosts.ts";
 export type { AgedReport } from "./host_datagram.ts";
+export { createTestFleet } from "./testing/create_test_fleet.ts";
 export type { HostReport } from "./host_report_schema.ts";
--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -1,8 +1,9 @@
-import type { Logger, Metrics } from "@crocussail/protocol";
+import type { Clock, Logger, Metrics } from "@crocussail/protocol";
 import { createManualClock } from "../../common/create_manual_clock.ts";
 import { createSeededRandom } from "../../common/create_seeded_random.ts";
 import { createFleetHosts } from "../create_fleet_hosts.ts";
 import type { FleetHosts } from "../create_fleet_hosts.ts";
+import type { AgedReport } from "../host_datagram.ts";
 import type { HostReport } from "../host_report_schema.ts";
 
 const STEP_MS = 2;
@@ -18,6 +19,12 @@
   readonly dataCentres?: number;
   /** Time for which the fleet runs before it is returned. */
   readonly discoveryMs?: number;
+  /** Share of the datagrams that are lost; 0.01 by default. */
+  readonly lossRate?: number;
+  /** Lists the limits that a host reports. */
+  readonly listLimits?: (index: number) => HostReport["limits"];
+  /** Called when a host has received a new report. */
+  readonly receiveReport?: (index: number, received: AgedReport) => void;
 }
 
 /** Creates hosts on one clock, and a network that delays by a step and loses a few datagrams. */
@@ -34,6 +41,35 @@
   const starts: ((incarnation: string) => FleetHosts)[] = [];
   /** Hosts whose datagrams are neither sent nor received. */
   const cut = new Set<number>();
+  /** Parts of a fleet that is split: datagrams between different values are lost. */
+  const parts = new Map<number, number>();
+  /** Frozen hosts: what their timers and sockets would have called, in order. */
+  const frozen = new Map<number, (() => void)[]>();
+  const runUnlessFrozen = (index: number, call: () => void) => {
+    const missed = frozen.get(index);
+    missed === undefined ? call() : missed.push(call);
+  };
+  const createHostClock = (index: number): Clock => ({
+    ...clock,
+    startTimer: (delayMs, callback) => {
+      let isCancelled = false;
+      const timer = clock.startTimer(
+        delayMs,
+        () => runUnlessFrozen(index, () => isCancelled || callback()),
+      );
+      return {
+        cancel: () => {
+          isCancelled = true;
+          timer.cancel();
+        },
+      };
+    },
+  });
+  const thaw = (index: number) => {
+    const missed = frozen.get(index) ?? [];
+    frozen.delete(index);
+    missed.forEach((call) => call());
+  };
   const getAddress = (index: number) => `10.0.${Math.floor(index / 250)}.${index % 250}:7200`;
   const getIndex = (address: string) => {
     const [, , high, low] = address.split(/[.:]/).map(Number);
@@ -50,7 +86,7 @@
     };
     const start = (incarnation: string) =>
       createFleetHosts({
-        clock,
+        clock: createHostClock(index),
         random: createSeededRandom(index + 1),
         logger: LOGGER,
         metrics: METRICS,
@@ -62,9 +98,12 @@
               sent.bytes += datagram.length;
               const isBetween = getIndex(target) % dataCentres !== index % dataCentres;
               sent.betweenDataCentres += isBetween ? datagram.length : 0;
-              const isCut = cut.has(index) || cut.has(getIndex(target));
-              if (!isCut && random.nextFloat() >= LOSS_RATE) {
-                clock.startTimer(STEP_MS, () => sockets.get(target)?.(datagram));
+              const receiver = getIndex(target);
+              const isCut = cut.has(index) || cut.has(receiver) ||
+                parts.get(index) !== parts.get(receiver);
+              if (!isCut && random.nextFloat() >= (options.lossRate ?? LOSS_RATE)) {
+                const receive = () => sockets.get(target)?.(datagram);
+                clock.startTimer(STEP_MS, () => runUnlessFrozen(receiver, receive));
               }
             },
             close: () => sockets.delete(address),
@@ -92,8 +131,12 @@
           leaving: [],
           upstreamsAgeMs: null,
           joined: [],
+          limits: options.listLimits?.(index) ?? [],
         }),
-        applyReport: ({ report }) => reports.set(report.host, report),
+        applyReport: (received) => {
+          reports.set(received.report.host, received.report);
+          options.receiveReport?.(index, received);
+        },
       });
     starts.push(start);
     hosts.push(start("i1"));
@@ -111,5 +154,19 @@
     ).length;
   await Promise.all(hosts.map((host) => host.start()));
   await run(options.discoveryMs ?? DISCOVERY_MS);
-  return { hosts, starts, sent, run, loads, reportsByHost, cut, countHostsWithLoad };
+  return {
+    clock,
+    hosts,
+    starts,
+    sent,
+    run,
+    loads,
+    reportsByHost,
+    cut,
+    parts,
+    frozen,
+    thaw,
+    createHostClock,
+    countHostsWithLoad,
+  };
 }
--- a/packages/daemon/src/forwarding/choose_generation_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_generation_upstream.ts
@@ -25,6 +25,11 @@
     InFlightRequest,
     "promptTokens" | "producedTokens" | "expectedTokens" | "maxOutputTokens"
   >;
+  /**
+   * Which upstreams are considered: those that name a limit need a permit for each request;
+   * `preferUnlimited` considers them when no other has room.
+   */
+  readonly among: "unlimited" | "limited" | "preferUnlimited";
   /** Upstreams that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
   /** Data centre of the engine that the KV cache is copied from. */
@@ -44,7 +49,7 @@
 export function chooseGenerationUpstream(
   context: Pick<
     ForwardingContext,
-    "upstreams" | "loads" | "clock" | "random" | "countHostsSharingRetryBudget"
+    "upstreams" | "loads" | "limits" | "clock" | "random" | "countHostsSharingRetryBudget"
   >,
   choice: GenerationChoice,
 ): UpstreamCandidate | undefined {
@@ -52,9 +57,16 @@
   if (service.engine === undefined) {
     return undefined;
   }
+  if (choice.among === "preferUnlimited") {
+    return chooseGenerationUpstream(context, { ...choice, among: "unlimited" }) ??
+      chooseGenerationUpstream(context, { ...choice, among: "limited" });
+  }
   const nowMs = context.clock.readMonotonicMs();
-  const usable = listUsableUpstreams(context.upstreams, service.name, nowMs)
-    .filter(({ record }) => !choice.excluded.has(record.id));
+  const isLimited = choice.among === "limited";
+  const usable = listUsableUpstreams(context.upstreams, service.name, nowMs).filter(({ record }) =>
+    !choice.excluded.has(record.id) &&
+    (context.limits.getLimit(record) !== undefined) === isLimited
+  );
   const candidates = listCandidates(context.loads, usable, nowMs);
   return chooseEngine(candidates, {
     random: context.random,
--- /dev/null
+++ b/packages/daemon/src/forwarding/choose_plain_upstream.ts
@@ -0,0 +1,86 @@
+import { chooseServiceUpstream, listCandidates } from "../balancing/mod.ts";
+import type { PendingPermit } from "../upstream_limits/mod.ts";
+import { listUsableUpstreams } from "../upstreams/mod.ts";
+import type { Upstream } from "../upstreams/mod.ts";
+import { claimLimitedUpstream } from "./claim_limited_upstream.ts";
+import { computeMaxWait } from "./compute_max_wait.ts";
+import type { ForwardedRequest } from "./forwarded_request.ts";
+import type { ForwardingContext } from "./forwarding_context.ts";
+
+/** Options of {@link choosePlainUpstream}. */
+export interface PlainChoiceOptions {
+  /** Ids of the upstreams that have been tried. */
+  readonly tried: ReadonlySet<string>;
+  readonly receivePending: (pending: PendingPermit) => void;
+}
+
+/** The chosen upstream, or why there is none. */
+export type PlainChoice =
+  | { readonly type: "placed"; readonly upstream: Upstream }
+  | { readonly type: "none" }
+  /** All that are left have reached their limits; the caller may return after that time. */
+  | { readonly type: "limited"; readonly retryAfterMs: number };
+
+/** Permits granted for upstreams that left meanwhile, after which a request is refused. */
+const MAX_LOST_PERMITS = 3;
+
+/**
+ * Chooses an upstream for a request of a plain service. One that names a limit is used for what the
+ * others have no free slot for, and only with a permit. The request waits for one if there is no
+ * other upstream.
+ */
+export async function choosePlainUpstream(
+  context: ForwardingContext,
+  request: ForwardedRequest,
+  options: PlainChoiceOptions,
+): Promise<PlainChoice> {
+  const { clock, limits, loads, random } = context;
+  for (let lostPermits = 0; lostPermits < MAX_LOST_PERMITS; lostPermits++) {
+    const nowMs = clock.readMonotonicMs();
+    const usable = listUsableUpstreams(context.upstreams, request.service.name, nowMs);
+    const candidates = listCandidates(loads, usable, nowMs)
+      .filter(({ upstream }) => !options.tried.has(upstream.record.id));
+    const isLimited = (upstream: Upstream) => limits.getLimit(upstream.record) !== undefined;
+    const unlimited = candidates.filter(({ upstream }) => !isLimited(upstream));
+    const limited = candidates.filter(({ upstream }) => isLimited(upstream));
+    const withRoom = unlimited.filter(({ load, upstream }) =>
+      load.inFlight < upstream.record.slots
+    );
+    const preferred = withRoom.length > 0 || limited.length > 0 ? withRoom : unlimited;
+    const chosen = chooseServiceUpstream(preferred, random)?.upstream;
+    if (chosen !== undefined) {
+      return { type: "placed", upstream: chosen };
+    }
+    if (limited.length === 0) {
+      return { type: "none" };
+    }
+    const canWait = unlimited.length === 0;
+    const elapsedMs = nowMs - request.arrivedAtMs;
+    const result = await claimLimitedUpstream(context, {
+      candidates: limited
+        .toSorted((left, right) => left.load.inFlight - right.load.inFlight)
+        .map(({ upstream }) => upstream),
+      priority: request.priority,
+      waitMs: canWait ? Math.max(0, computeMaxWait(request) - elapsedMs) : 0,
+      patientMs: canWait ? Math.max(0, request.deadlineAtMs - nowMs - request.route.targetMs) : 0,
+      receivePending: options.receivePending,
+      hasEnded: request.reply.hasEnded,
+    });
+    if (result.type === "refused") {
+      const overloaded = chooseServiceUpstream(unlimited, random)?.upstream;
+      return overloaded === undefined
+        ? { type: "limited", retryAfterMs: result.retryAfterMs }
+        : { type: "placed", upstream: overloaded };
+    }
+    const { record } = result.upstream;
+    const still = listUsableUpstreams(
+      context.upstreams,
+      request.service.name,
+      clock.readMonotonicMs(),
+    );
+    if (still.some((upstream) => upstream.record === record)) {
+      return { type: "placed", upstream: result.upstream };
+    }
+  }
+  return { type: "none" };
+}
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -45,6 +45,8 @@
    * after about 7 s without an event.
    */
   restoreTimeoutMs: 6_000,
+  /** Timeout for the permit to call a limited upstream for a migration step. */
+  movePermitTimeoutMs: 600,
   /** Delay before a failed migration step is retried. */
   migrationRetryMs: 100,
   /**
@@ -56,6 +58,14 @@
   maxMigrationTargets: 4,
   /** Maximum concurrent migrations from one engine; its network link transfers one at a time. */
   maxMigrationsPerUpstream: 3,
+  /** Longest wait as a multiple of the route's target: callers disconnect at four times it. */
+  maxWaitTargetFactor: 2.5,
+  /** Longest wait as a share of the request's timeout. */
+  maxWaitTimeoutShare: 0.3,
+  /** Maximum limited upstreams that are asked for a permit to start one generation. */
+  maxLimitedCandidates: 8,
+  /** Priority of generations that resume: they come before any that starts. */
+  resumePriority: -1,
   /** Maximum length of this host's wait queue; generations beyond it are refused. */
   maxQueued: 256,
 } as const;
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -174,6 +174,7 @@
       const run = runGeneration(context, {
         request,
         waitQueue,
+        reportFault: (error) => reportFault(request, error),
         finish: (end, ended) => {
           runs.delete(ended);
           recordEnd(request, end, {
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -5,6 +5,7 @@
 import type { LoadState } from "../balancing/mod.ts";
 import type { PromptPartQuarantine, Quarantine } from "../quarantine/mod.ts";
 import type { RetryBudgetLimits, RetryBudgetState } from "../retries/mod.ts";
+import type { UpstreamLimits } from "../upstream_limits/mod.ts";
 import type { UpstreamState } from "../upstreams/mod.ts";
 
 /** Dependencies of forwarding; the states are shared with the slices that update them. */
@@ -18,6 +19,7 @@
   readonly kvCache: KvCacheClient;
   readonly upstreams: UpstreamState;
   readonly loads: LoadState;
+  readonly limits: Pick<UpstreamLimits, "getLimit" | "getFreeInMs" | "requestPermit">;
   readonly quarantine: Pick<
     Quarantine,
     "isQuarantined" | "recordUpstreamCrash" | "recordRequestEnd"
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -1,6 +1,7 @@
 import type { KvCacheSource } from "../adapters/deployment_dialect.ts";
 import { getPauseMs } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
+import { claimPermit } from "./claim_permit.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
@@ -11,6 +12,8 @@
 import { sendEvent } from "./send_event.ts";
 import { waitFor } from "./wait_for.ts";
 
+const LIMIT_REACHED = "the upstream has reached the limit that it names";
+
 /**
  * Migrates a running generation away from a draining upstream: resumes it from the backup copy on
  * another upstream, or else copies its KV cache to a new one. It keeps running on its source until
@@ -67,6 +70,7 @@
     const target = chooseGenerationUpstream(context, {
       request: run.request,
       purpose: "move",
+      among: "preferUnlimited",
       inFlight: run.inFlight,
       excluded: new Set([...excluded, source.record.id]),
       nearDataCentre: source.record.dataCentre,
@@ -99,6 +103,17 @@
   }
   inFlight.copyUpstreamId = target.record.id;
   context.reportLoadIncrease();
+  const permit = await claimPermit(context, {
+    upstream: source,
+    priority: FORWARDING_LIMITS.resumePriority,
+    waitMs: FORWARDING_LIMITS.movePermitTimeoutMs,
+    patientMs: FORWARDING_LIMITS.movePermitTimeoutMs,
+  });
+  if (permit.type === "refused") {
+    inFlight.copyUpstreamId = undefined;
+    recordFailure(context, run, "copy", LIMIT_REACHED);
+    return false;
+  }
   recordStart(context, run, target, "move");
   const result = await context.kvCache.copyKvCache({
     sourceAddress: source.record.address,
@@ -130,6 +145,19 @@
   if (stream === undefined || run.phase !== "running" || isPausing(context, upstream)) {
     return false;
   }
+  const permit = await claimPermit(context, {
+    upstream,
+    priority: FORWARDING_LIMITS.resumePriority,
+    waitMs: FORWARDING_LIMITS.movePermitTimeoutMs,
+    patientMs: FORWARDING_LIMITS.movePermitTimeoutMs,
+  });
+  if (permit.type === "refused") {
+    recordFailure(context, run, `resume at ${upstream.record.id}`, LIMIT_REACHED);
+    return false;
+  }
+  if (!isStillRunning(run)) {
+    return false;
+  }
   if (way === "copy") {
     recordStart(context, run, upstream, way);
   }
@@ -161,6 +189,11 @@
   return hasResumed;
 }
 
+/** Whether the run is still on its source, after a wait in which it may have ended or failed. */
+function isStillRunning(run: GenerationRun): boolean {
+  return run.phase === "running";
+}
+
 function isPausing(context: ForwardingContext, { record }: Upstream): boolean {
   return getPauseMs(context.upstreams, record, context.clock.readMonotonicMs()) > 0;
 }
--- a/packages/daemon/src/forwarding/refusal_details.ts
+++ b/packages/daemon/src/forwarding/refusal_details.ts
@@ -9,6 +9,7 @@
   noUpstreamLeft: "no service of the route accepts requests",
   requestHeldBack: "the request, or a part of its prompt, has crashed several upstreams",
   noRoomInTime: "this host buffers too many request bodies",
+  limitReached: "all upstreams that are left have reached the limit that each of them names",
 } as const;
 
 /** Result code of a request that is refused before it is forwarded. */
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -1,7 +1,9 @@
 import { getPauseMs } from "../upstreams/mod.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { decideRestoreRetry } from "./decide_restore_retry.ts";
+import { claimPermit } from "./claim_permit.ts";
 import { findBackupCopy } from "./find_backup_copy.ts";
+import type { BackupCopy } from "./find_backup_copy.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
@@ -56,6 +58,19 @@
       retryAfter(pauseMs);
       return;
     }
+    const leftMs = FORWARDING_LIMITS.restoreTimeoutMs - elapsedMs;
+    const limit = { priority: FORWARDING_LIMITS.resumePriority, waitMs: leftMs, patientMs: leftMs };
+    claimPermit(context, { ...limit, upstream: copy.upstream }).then((permit) => {
+      if (run.phase !== "switching") {
+        return;
+      }
+      permit.type === "granted"
+        ? resumeFrom(copy)
+        : endInterrupted(context, run, `${reason}; the backup copy's upstream is at its limit`);
+    }).catch((error) => endInterrupted(context, run, `${reason}; ${error}`));
+  };
+  const resumeFrom = (copy: BackupCopy) => {
+    const elapsedMs = context.clock.readMonotonicMs() - startMs;
     resumeGeneration(context, run, {
       ...copy,
       way: "copy",
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -56,6 +56,7 @@
     ? chooseGenerationUpstream(context, {
       request,
       purpose: "copy",
+      among: "preferUnlimited",
       inFlight,
       excluded: new Set([upstream.record.id, formerInFlight?.upstreamId ?? ""]),
       nearDataCentre: upstream.record.dataCentre,
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -6,9 +6,11 @@
 import type { Upstream } from "../upstreams/mod.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
+import { computeMaxWait } from "./compute_max_wait.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
 import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
+import { createLimitedStart } from "./create_limited_start.ts";
 import { createGenerationStream } from "./create_generation_stream.ts";
 import type { WaitQueue } from "./create_wait_queue.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
@@ -27,15 +29,12 @@
 export interface GenerationOptions {
   readonly request: ForwardedRequest;
   readonly waitQueue: WaitQueue;
+  /** Called with an error of this host that leaves the run without an end. */
+  readonly reportFault: (error: unknown) => void;
   /** Called once when the run has ended. */
   readonly finish: (end: string, run: GenerationRun) => void;
 }
 
-/** Longest wait as a multiple of the route's target: callers disconnect at four times it. */
-const MAX_WAIT_TARGET_FACTOR = 2.5;
-/** Longest wait as a share of the request's timeout. */
-const MAX_WAIT_TIMEOUT_SHARE = 0.3;
-
 /** Starts a generation: places it on an upstream, or queues it until one has room. */
 export function runGeneration(
   context: ForwardingContext,
@@ -64,6 +63,7 @@
         return;
       }
       run.phase = "ended";
+      limitedStart.cancel();
       run.stream?.exchange?.abort();
       context.loads.inFlightRequests.delete(request.requestId);
       context.reportLoadChange();
@@ -166,53 +166,89 @@
   };
 
   const tryPlace = () => {
-    if (run.phase === "ended") {
+    if (run.phase !== "waiting") {
       return true;
     }
     if (isHeldBack(context, request)) {
       refuseHeldBack();
       return true;
     }
+    const chosen = chooseGenerationUpstream(context, { ...describeChoice(), among: "unlimited" });
+    if (chosen !== undefined) {
+      limitedStart.cancel();
+      startAttempt(chosen);
+      return true;
+    }
+    limitedStart.start(0).catch(options.reportFault);
+    return false;
+  };
+  const describeChoice = () => {
     const { promptTokens, maxOutputTokens, expectedTokens } = request.head;
-    const chosen = chooseGenerationUpstream(context, {
+    return {
       request,
       purpose: "start",
       inFlight: { promptTokens, maxOutputTokens, expectedTokens, producedTokens: 0 },
       excluded,
-    });
-    if (chosen === undefined) {
-      return false;
-    }
-    startAttempt(chosen);
-    return true;
+    } as const;
   };
 
+  const limitedStart = createLimitedStart({ context, run, describeChoice, startAttempt });
+
   const refuseHeldBack = () => {
     const { quarantineMs } = QUARANTINE_DEFAULTS;
     request.reply.refuse("requestHeldBack", REFUSAL_DETAILS.requestHeldBack, quarantineMs);
     run.finish("heldBack");
   };
   const refuseQueued = (detail: string) => {
+    if (run.phase !== "waiting") {
+      return; // a permit has come in the meantime
+    }
     request.reply.refuse("noRoomInTime", detail, computeRetryAfter(context.random));
     run.finish("refused");
   };
 
+  const listLeft = (nowMs: number) =>
+    listUsableUpstreams(context.upstreams, request.service.name, nowMs)
+      .filter(({ record }) => !excluded.has(record.id));
+  const areAllLimited = (nowMs: number) => {
+    const left = listLeft(nowMs);
+    return left.length > 0 &&
+      left.every(({ record }) => context.limits.getLimit(record) !== undefined);
+  };
   const startOrQueue = () => {
     run.phase = "waiting";
-    if (tryPlace()) {
+    const nowMs = context.clock.readMonotonicMs();
+    if (areAllLimited(nowMs) && !isHeldBack(context, request)) {
+      startLimitedOrQueue(nowMs).catch(options.reportFault);
       return;
     }
-    const nowMs = context.clock.readMonotonicMs();
-    const usable = listUsableUpstreams(context.upstreams, request.service.name, nowMs);
+    if (!tryPlace()) {
+      enqueue(nowMs);
+    }
+  };
+  /** Waits for a permit; is refused at once if none comes in time. */
+  const startLimitedOrQueue = async (nowMs: number) => {
+    const waitMs = Math.max(0, computeMaxWait(request) - (nowMs - request.arrivedAtMs));
+    const retryAfterMs = await limitedStart.start(waitMs);
+    if (run.phase !== "waiting") {
+      return;
+    }
+    const endMs = context.clock.readMonotonicMs();
+    if (retryAfterMs === undefined || !areAllLimited(endMs)) {
+      enqueue(endMs);
+      return;
+    }
+    request.reply.refuse("limitReached", REFUSAL_DETAILS.limitReached, retryAfterMs);
+    run.finish("limited");
+  };
+
+  const enqueue = (nowMs: number) => {
     const { targetMs } = request.route;
-    const waitMs = Math.min(
-      targetMs * MAX_WAIT_TARGET_FACTOR,
-      (request.deadlineAtMs - request.arrivedAtMs) * MAX_WAIT_TIMEOUT_SHARE,
-    );
+    const waitMs = computeMaxWait(request);
     const { name } = request.service;
     const pauseMs = findShortestPause(context.upstreams, name, nowMs, excluded) ?? Infinity;
     const isPauseShort = nowMs + pauseMs < request.arrivedAtMs + waitMs;
-    if (usable.every(({ record }) => excluded.has(record.id)) && !isPauseShort) {
+    if (listLeft(nowMs).length === 0 && !isPauseShort) {
       const detail = `service ${name} has no upstream left to try`;
       request.reply.refuse("noUpstreamLeft", detail, computeServiceRetryAfter(context, name));
       run.finish("noUpstreamLeft");
@@ -258,6 +294,7 @@
   return chooseGenerationUpstream(context, {
     request,
     purpose: "copy",
+    among: "preferUnlimited",
     inFlight,
     excluded: new Set([upstream.record.id]),
     nearDataCentre: upstream.record.dataCentre,
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -1,15 +1,18 @@
 import type { UpstreamExchange } from "../adapters/upstream_exchange.ts";
-import { chooseServiceUpstream, listCandidates, observePerformance } from "../balancing/mod.ts";
+import { observePerformance } from "../balancing/mod.ts";
 import type { InFlightRequest } from "../balancing/mod.ts";
 import { decideRetry, hasNotExecuted, RETRY_LIMITS } from "../retries/mod.ts";
 import type { RetryDecision } from "../retries/mod.ts";
-import { listUsableUpstreams } from "../upstreams/mod.ts";
+import type { PendingPermit } from "../upstream_limits/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { collectAnswer } from "./collect_answer.ts";
 import type { CollectedAnswer } from "./collect_answer.ts";
+import { choosePlainUpstream } from "./choose_plain_upstream.ts";
+import type { PlainChoice } from "./choose_plain_upstream.ts";
 import { recordUpstreamLoss } from "./record_upstream_loss.ts";
 import { recordReachability } from "./record_reachability.ts";
+import { REFUSAL_DETAILS } from "./refusal_details.ts";
 import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
@@ -25,6 +28,8 @@
   const budget = getServiceBudget(context, request.service.name);
   const tried = new Set<string>();
   let exchange: UpstreamExchange | undefined;
+  let pendingPermit: PendingPermit | undefined;
+  let lastAnswer: CollectedAnswer | undefined;
   let executedAttempts = 0;
   let unexecutedAttempts = 0;
   reply.onDisconnect(() => {
@@ -32,14 +37,26 @@
     if (route.kind === "repeatable") {
       exchange?.abort();
     }
+    pendingPermit?.cancel();
     logger.writeEvent("callerLeft", { request: requestId });
   });
   budget.countRequest();
   for (let attempt = 1;; attempt++) {
-    const upstream = chooseUpstream(context, request, tried);
-    if (upstream === undefined) {
-      return refuseUnplaced(context, request, executedAttempts === 0);
+    const placement = await choosePlainUpstream(context, request, {
+      tried,
+      receivePending: (pending) => {
+        pendingPermit = pending;
+      },
+    });
+    if (reply.hasEnded()) {
+      return "callerLeft";
+    }
+    if (placement.type !== "placed") {
+      return lastAnswer?.outcome === "failed"
+        ? answerCaller(context, request, "relay", lastAnswer)
+        : refuseUnplaced(context, request, placement, executedAttempts === 0);
     }
+    const { upstream } = placement;
     tried.add(upstream.record.id);
     if (attempt > 1) {
       budget.countRetry();
@@ -51,6 +68,7 @@
         exchange = opened;
       },
     });
+    lastAnswer = answer;
     if (answer.isConnectionLost) {
       await recordUpstreamLoss(context, request, upstream);
     } else if (answer.outcome === "answered") {
@@ -91,18 +109,6 @@
   readonly receiveExchange: (exchange: UpstreamExchange) => void;
 }
 
-function chooseUpstream(
-  context: ForwardingContext,
-  request: ForwardedRequest,
-  tried: ReadonlySet<string>,
-): Upstream | undefined {
-  const nowMs = context.clock.readMonotonicMs();
-  const usable = listUsableUpstreams(context.upstreams, request.service.name, nowMs);
-  const candidates = listCandidates(context.loads, usable, nowMs);
-  const untried = candidates.filter(({ upstream }) => !tried.has(upstream.record.id));
-  return chooseServiceUpstream(untried, context.random)?.upstream;
-}
-
 async function sendAttempt(
   context: ForwardingContext,
   request: ForwardedRequest,
@@ -173,12 +179,17 @@
 function refuseUnplaced(
   context: ForwardingContext,
   request: ForwardedRequest,
+  placement: Exclude<PlainChoice, { type: "placed" }>,
   isUnexecuted: boolean,
 ): string {
   if (!isUnexecuted) {
     request.reply.refuse("outcomeUnknown", "no upstream is left for another attempt");
     return "unknown";
   }
+  if (placement.type === "limited") {
+    request.reply.refuse("limitReached", REFUSAL_DETAILS.limitReached, placement.retryAfterMs);
+    return "limited";
+  }
   const detail = `service ${request.service.name} has no upstream left to try`;
   const retryAfterMs = computeServiceRetryAfter(context, request.service.name);
   request.reply.refuse("noUpstreamLeft", detail, retryAfterMs);
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -6,7 +6,7 @@
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
 import { createPromptPartQuarantine, createQuarantine } from "../quarantine/mod.ts";
-import { createLimitTable } from "../upstream_limits/mod.ts";
+import { createUpstreamLimits } from "../upstream_limits/mod.ts";
 import { findUpstreamAt } from "../upstreams/mod.ts";
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
@@ -100,6 +100,7 @@
     settingsEra: era,
     ...describeLoads(loads, hosts.listLive().length + 1),
     ...describeUpstreams(upstreams, reading),
+    limits: limits.listReported(),
   });
   const hosts = createFleetHosts({
     clock,
@@ -116,6 +117,7 @@
       const sentAtMs = clock.readMonotonicMs() - ageMs;
       loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
       applyReportedUpstreams(upstreams, reading, { report, ageMs }, clock.readMonotonicMs());
+      limits.acceptReport(report, ageMs);
       versions.acceptVersion(report.settingsVersion);
       recordEra(report.settingsEra, report.host);
     },
@@ -129,7 +131,16 @@
     state: upstreams.state,
     hosts,
   });
-  const limits = createLimitTable({ logger, metrics });
+  const limits = createUpstreamLimits({
+    clock,
+    random,
+    logger,
+    metrics,
+    localHost: config.host.name,
+    incarnation,
+    hosts,
+    isLeaving: () => isLeaving,
+  });
   const openExchange = createObservedExchange({
     openExchange: options.openExchange,
     dialect,
@@ -152,7 +163,7 @@
           perSecond: signals.limitPerSecond,
           sentAtMs,
           receivedAtMs: clock.readMonotonicMs(),
-        }, "response");
+        });
       }
     },
   });
@@ -176,6 +187,7 @@
       kvCache: options.createKvCache(openExchange),
       upstreams: upstreams.state,
       loads,
+      limits,
       quarantine,
       promptParts,
       budgetLimits: {
@@ -284,13 +296,14 @@
         loads.conduct.delete(id);
       }
     }
-    limits.prune((id) => upstreams.state.upstreams.has(id));
+    limits.tick((id) => upstreams.state.upstreams.has(id));
     timer = clock.startTimer(GATEWAY_LIMITS.tickMs, tick);
   };
 
   const stop = () => {
     timer?.cancel();
     forwarder.stop();
+    limits.stop();
     options.feed.stop();
     hosts.stop();
     servers.forEach((server) => {
--- /dev/null
+++ b/packages/daemon/src/upstream_limits/constants.ts
@@ -0,0 +1,53 @@
+/** Limits of the permits for requests to upstreams that name a limit. Times are in milliseconds. */
+export const PERMIT_LIMITS = {
+  /**
+   * Requests a second that are permitted at a limit below this one, also 0: the end of a limit is
+   * seen only in a response.
+   */
+  minPerSecond: 0.2,
+  /** Time for which unused permits are kept; one is always kept. */
+  keptMs: 500,
+  /**
+   * Time after its start in which a host grants nothing: it may not know yet that another one owns
+   * the upstream's limit, or what was granted before.
+   */
+  settleMs: 2_000,
+  /** Requests that wait at one owner for permits of one upstream; further ones are refused. */
+  maxWaiting: 512,
+  /**
+   * Requests that may wait to their deadline. Those behind them wait only as long as an answer is
+   * worth most, so that under lasting overload the ones that are served are served in time.
+   */
+  patientPlaces: 2,
+  /** Time for which a waiting request keeps its place unless its host requests it again. */
+  placeLeaseMs: 1_000,
+  /** Interval at which a host repeats a request that its owner has not answered. */
+  repeatMs: 40,
+  /** Interval at which a host renews the place of a waiting request. */
+  renewMs: 250,
+  /** Time after which a host stops waiting for the answer of an owner, which may be frozen. */
+  answerTimeoutMs: 150,
+  /** Time for which a host requests no permit of an owner that has not answered. */
+  silentOwnerMs: 250,
+  /**
+   * Minimum time after which a caller may return when the owner is silent, in which another host
+   * takes over; up to twice that, at random.
+   */
+  silentReturnMs: 1_000,
+  /** Time over which refused callers are spread, at least. */
+  returnSpreadMs: 10_000,
+  /** The same in intervals between two permits; the longer applies. */
+  returnSpreadIntervals: 4,
+  /** Time for which an owner repeats the answer to the same request, whose first one may be lost. */
+  answerMemoryMs: 2_000,
+  /** Answers that an owner keeps; at the limit the oldest is dropped. */
+  maxAnswers: 2_048,
+  /** Time after a response for which a host reports what it says of the limit, or of its end. */
+  reportMs: 3_000,
+  /** Largest number of limits in a report; the owner of a further one reports it when it may. */
+  maxReported: 64,
+  /** Interval at which an owner with waiting requests checks that it still is the owner. */
+  ownerCheckMs: 100,
+  /** Time for which the owner of an upstream is cached. */
+  ownerCacheMs: 20,
+} as const;
--- a/packages/daemon/src/upstream_limits/create_limit_table.ts
+++ b/packages/daemon/src/upstream_limits/create_limit_table.ts
@@ -32,7 +32,8 @@
   getObservation(upstream: UpstreamIncarnation): LimitObservation | undefined;
   /** Returns the requests a second that an incarnation takes; undefined without a limit. */
   getLimit(upstream: UpstreamIncarnation): number | undefined;
-  listLimited(): (readonly [string, KnownLimit])[];
+  /** Lists what is known by upstream. */
+  listKnown(): (readonly [string, KnownLimit])[];
   /** Forgets the upstreams that are not known any more, which bounds the table. */
   prune(isKnown: (id: string) => boolean): void;
 }
@@ -40,7 +41,8 @@
 /** Creates an empty table. Each change of a limit is logged once. */
 export function createLimitTable({ logger, metrics }: LimitTableOptions): LimitTable {
   const limits = new Map<string, KnownLimit>();
-  const listLimited = () => [...limits].filter(([, { perSecond }]) => perSecond !== undefined);
+  const countLimited = () =>
+    [...limits.values()].filter(({ perSecond }) => perSecond !== undefined).length;
   const getObservation = ({ id, startedAt }: UpstreamIncarnation) => {
     const known = limits.get(id);
     return known?.startedAt === startedAt ? known : undefined;
@@ -57,7 +59,6 @@
       if (known?.perSecond === merged.perSecond) {
         return false;
       }
-      metrics.gauge("upstreams.limited", listLimited().length);
       merged.perSecond === undefined
         ? logger.writeEvent("upstreamLimitEnded", { upstream: id, by })
         : logger.writeEvent("upstreamLimitNamed", {
@@ -70,13 +71,10 @@
     },
     getObservation,
     getLimit: (upstream) => getObservation(upstream)?.perSecond,
-    listLimited,
+    listKnown: () => [...limits],
     prune: (isKnown) => {
-      for (const id of limits.keys()) {
-        if (!isKnown(id)) {
-          limits.delete(id);
-        }
-      }
+      [...limits.keys()].filter((id) => !isKnown(id)).forEach((id) => limits.delete(id));
+      metrics.gauge("upstreams.limited", countLimited());
     },
   };
 }
--- a/packages/daemon/src/upstream_limits/mod.ts
+++ b/packages/daemon/src/upstream_limits/mod.ts
@@ -1,3 +1,4 @@
 /** Limits that upstreams name for the requests of all hosts together. @module */
-export { createLimitTable } from "./create_limit_table.ts";
-export type { LimitTable } from "./create_limit_table.ts";
+export type { PendingPermit, PermitResult } from "./create_permit_client.ts";
+export { createUpstreamLimits } from "./create_upstream_limits.ts";
+export type { UpstreamLimits } from "./create_upstream_limits.ts";
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -155,6 +155,11 @@
     unit: "requests",
     meaning: "Requests of any kind that this host sent to upstreams that name a limit",
   },
+  "upstreams.permits": {
+    type: "counter",
+    unit: "requests",
+    meaning: "Requests of this host for permits of limited upstreams, by tag `end`",
+  },
   "hosts.rejected": {
     type: "counter",
     unit: "datagrams",
--- a/packages/protocol/src/result_codes/forwarding_result_codes.ts
+++ b/packages/protocol/src/result_codes/forwarding_result_codes.ts
@@ -58,4 +58,11 @@
     title: "Request has crashed more than one upstream and is quarantined",
     advice: "Change the request, and report it to an operator",
   },
+  limitReached: {
+    number: 8008,
+    status: 503,
+    ran: "no",
+    title: "All upstreams have reached the number of requests a second that they take",
+    advice: "Retry after the delay stated in the response",
+  },
 } as const satisfies Record<string, ResultCodeEntry>;
