Reset connections on which an upstream sends bytes without end

What callers saw: a host read at full speed, up to 713 MB, from an upstream that sent a status line, a chunk size, extensions or an unsigned body without end, and answered when the caller's time was over. Cause: only the headers and the buffered response of a plain request had a bound; framing, the body of a response that starts no stream, an event and a call's response had none. What was sent counts as possibly executed: a repeatable request goes on elsewhere, a generation resumes from its backup copy, anything else ends with an unknown outcome.

--- a/packages/daemon/src/adapters/open_http_exchange.ts
+++ b/packages/daemon/src/adapters/open_http_exchange.ts
@@ -4,6 +4,7 @@
 import { splitAddress } from "../common/split_address.ts";
 import type { OpenUpstreamExchange } from "./upstream_exchange.ts";
 import { watchConnectionLoss } from "./watch_connection_loss.ts";
+import { watchFramingBytes } from "./watch_framing_bytes.ts";
 
 const LATIN1 = "latin1";
 
@@ -15,6 +16,7 @@
   const { host, port } = splitAddress(request.address);
   let isSent = false;
   let isFinished = false;
+  let bodyBytes = 0;
   let readConnectionLoss: () => string | undefined = () => undefined;
 
   const client = new Client(`http://${request.address}`, {
@@ -31,6 +33,11 @@
         socket.off("connect", handleConnect).off("error", settle);
         if (error === null) {
           readConnectionLoss = watchConnectionLoss(socket);
+          watchFramingBytes(
+            socket,
+            () => bodyBytes,
+            (reason) => finish(() => handler.fail(isSent, reason)),
+          );
           callback(null, socket);
         } else {
           callback(error, null);
@@ -70,6 +77,7 @@
         }
       },
       onResponseData: (_controller, chunk) => {
+        bodyBytes += chunk.length;
         if (!isFinished) {
           handler.receiveData(chunk);
         }
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -4,6 +4,8 @@
   connectTimeoutMs: 400,
   /** Largest buffered response of a plain service; the outcome of a larger one is unknown. */
   maxAnswerBytes: 4 * 1_048_576,
+  /** Bytes of a stream without a new event id after which it counts as broken off. */
+  maxEventBytes: 1_048_576,
   /** Total size of the request bodies that this host buffers; requests beyond it are refused. */
   maxBufferedBytes: 32 * 1_048_576,
   /** Unsent bytes above which the connection to a slow caller is closed. */
--- a/packages/daemon/src/forwarding/open_generation_exchange.ts
+++ b/packages/daemon/src/forwarding/open_generation_exchange.ts
@@ -76,8 +76,10 @@
         return;
       }
       size += chunk.length;
-      if (size <= FORWARDING_LIMITS.maxAnswerBytes) {
-        chunks.push(chunk);
+      chunks.push(chunk);
+      if (size > FORWARDING_LIMITS.maxAnswerBytes) {
+        exchange.abort();
+        refuse("broken", "response exceeds the size that this host buffers");
       }
     },
     end: () => {
--- a/packages/daemon/src/forwarding/relay_events.ts
+++ b/packages/daemon/src/forwarding/relay_events.ts
@@ -23,6 +23,7 @@
   let firstEventAtMs: number | undefined;
   let isWellUnderWay = false;
   let remaining: Uint8Array = new Uint8Array();
+  let bytesSinceNewId = 0;
 
   const startAnswer = () => {
     if (head !== undefined && !reply.hasStarted()) {
@@ -56,6 +57,7 @@
     if (isDuplicate || run.phase === "ended") {
       return; // it was sent before the generation resumed here, or the run has ended
     }
+    bytesSinceNewId = id === undefined ? bytesSinceNewId : 0;
     startAnswer();
     sendEvent(context, run, event);
   };
@@ -81,7 +83,12 @@
       }
       const split = splitEvents(remaining, chunk);
       remaining = split.remaining;
+      bytesSinceNewId += chunk.length;
       split.events.forEach(receiveEvent);
+      if (bytesSinceNewId > FORWARDING_LIMITS.maxEventBytes) {
+        stream.exchange?.abort();
+        handleFailure("stream has no new event within the largest size of one");
+      }
     },
     end: () => {
       recordClose();
