Answer requests that are still arriving when a host's drain ends

What callers saw: a request whose head or body was still arriving when the last other request of a stopping host had ended was cut off without an answer. Cause: the drain counted only requests that were read completely, and then closed every connection.

--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -39,6 +39,8 @@
   /** Migrates the generations that run on a draining upstream. */
   migrateFrom(upstream: Upstream): void;
   countRunning(): number;
+  /** Counts the requests, arriving ones included, whose response has not been sent completely. */
+  countOpen(): number;
   start(): void;
   stop(): void;
 }
@@ -53,6 +55,7 @@
   const waitQueue = createWaitQueue();
   const runs = new Set<GenerationRun>();
   let running = 0;
+  let open = 0;
   let bufferedBytes = 0;
   let timer: Timer | undefined;
   let isIdle = false;
@@ -211,6 +214,8 @@
   };
 
   const handleRequest = async (incoming: IncomingMessage, response: ServerResponse) => {
+    open++;
+    response.once("close", () => open--);
     const arrivedAtMs = clock.readMonotonicMs();
     const settings = options.readSettings();
     const head = context.dialect.decodeRequest(incoming.rawHeaders);
@@ -299,6 +304,7 @@
     handleRequest,
     migrateFrom: (upstream) => migrateNext(upstream.record.id),
     countRunning: () => running,
+    countOpen: () => open,
     start: () => tick(),
     stop: () => timer?.cancel(),
   };
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -1,5 +1,6 @@
 import type { Timer } from "@crocussail/protocol";
 import type { Server } from "node:http";
+import type { Socket } from "node:net";
 import type { PublishedSettings } from "../adapters/deployment_feed.ts";
 import { createLoadState } from "../balancing/mod.ts";
 import { chooseAddresses, createFleetHosts } from "../fleet_hosts/mod.ts";
@@ -25,6 +26,7 @@
 import { listSeedAddresses } from "./list_seed_addresses.ts";
 import { openHttpListener } from "./open_http_listener.ts";
 import { readPeerLoads } from "./read_peer_loads.ts";
+import { waitForDrain } from "./wait_for_drain.ts";
 
 /** A daemon that forwards requests by published routes. */
 export interface Gateway {
@@ -47,6 +49,7 @@
   const peerAddress = `${config.host.address}:${config.listen.peerPort}`;
   const loads = createLoadState();
   const servers: Server[] = [];
+  const connections = new Set<Socket>();
   let published: PublishedSettings | undefined;
   let isLeaving = false;
   let leavingSinceMs = Number.POSITIVE_INFINITY;
@@ -253,6 +256,10 @@
         response.destroy();
       });
     });
+    callers.on("connection", (socket) => {
+      connections.add(socket);
+      socket.once("close", () => connections.delete(socket));
+    });
     servers.push(callers);
     await openHttpListener(
       listen.readiness,
@@ -354,22 +361,17 @@
       }
       isLeaving = true;
       hosts.scheduleUrgentReport();
-      const startMs = clock.readMonotonicMs();
-      leavingSinceMs = startMs;
-      const graceMs = config.shutdown.graceSeconds * 1_000 - GATEWAY_LIMITS.exitReserveMs;
+      leavingSinceMs = clock.readMonotonicMs();
       logger.writeEvent("gatewayLeaving", { running: forwarder.countRunning() });
-      await new Promise<void>((resolve) => {
-        const check = () => {
-          const elapsedMs = clock.readMonotonicMs() - startMs;
-          const isDone = elapsedMs >= GATEWAY_LIMITS.minDrainMs && forwarder.countRunning() === 0;
-          if (isDone || elapsedMs >= graceMs) {
-            resolve();
-            return;
-          }
-          clock.startTimer(GATEWAY_LIMITS.tickMs, check);
-        };
-        check();
-      });
+      await Promise.all(servers.map((server) =>
+        waitForDrain({
+          clock,
+          graceMs: config.shutdown.graceSeconds * 1_000 - GATEWAY_LIMITS.exitReserveMs,
+          countOpen: forwarder.countOpen,
+          server,
+          connections,
+        })
+      ));
       logger.writeEvent("gatewayStopped", { running: forwarder.countRunning() });
       stop();
     },
