Tell a restarted host which upstreams have said that they leave

What callers saw: a host that had just been restarted sent requests to an upstream that had told other hosts that it leaves, and whose record still said that it was ready. Cause: reports contain a draining upstream for 3 s only, and a host that restarts within a second never stops being live, so nothing was repeated for it, notices included. Change: a report of a new process, as of a host that returns, brings all draining upstreams and notices into the reports again for 3 s. A stopped gateway closes all its listeners, which the test of a restart needs.

--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -71,6 +71,8 @@
   peersForNewHost: 24,
   /** Time for which a joined or draining upstream is reported; covers several lost reports. */
   upstreamReportMs: 3_000,
+  /** Largest number of draining upstreams in a report; the ones known last are reported. */
+  maxReportedLeaving: 128,
   /** Time for which a notice is reported; covers several lost reports. */
   noticeReportMs: 3_000,
   /** Largest number of notices in a report that a relay merged from several. */
--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -39,7 +39,7 @@
   readonly buildReport: () => LocalReport;
   /** Receives each new report of another host and its age. */
   readonly applyReport: (received: AgedReport) => void;
-  /** Called when other hosts have joined. */
+  /** Called when other hosts have joined, returned or restarted. */
   readonly handleJoined: () => void;
 }
 
@@ -164,6 +164,11 @@
     if (isNew && !isMesh() && relay.isRelay(report.host)) {
       scheduleUrgentReport(); // this host's reports have not reached the new relay yet
     }
+    if (isNew) {
+      // One that restarts at once has been live all the time, but its new process knows nothing.
+      notices.renewNotices();
+      options.handleJoined();
+    }
     notices.acceptNotices(report, ageMs);
     options.applyReport(received);
   };
@@ -258,7 +263,7 @@
     joined.forEach((peer) => logger.writeEvent("hostJoined", { peer, live: current.size }));
     if (joined.length > 0) {
       notices.renewNotices();
-      options.handleJoined();
+      options.handleJoined(); // one that was cut off may have missed what was reported meanwhile
     }
     [...live].filter((host) => !current.has(host))
       .forEach((peer) => logger.writeEvent("hostLost", { peer, live: current.size }));
--- a/packages/daemon/src/fleet_hosts/host_report_schema.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_schema.ts
@@ -49,7 +49,8 @@
    * Upstreams that are draining: id, start, and whether the host infers this only from the absence of
    * the upstream's record.
    */
-  leaving: z.array(z.tuple([z.string(), z.number(), z.boolean()])).max(128),
+  leaving: z.array(z.tuple([z.string(), z.number(), z.boolean()]))
+    .max(HOST_LIMITS.maxReportedLeaving),
   /**
    * Upstreams that have joined: id, service, address, data centre, slots, duration of the slow start
    * in milliseconds, start.
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -49,6 +49,7 @@
   const peerAddress = `${config.host.address}:${config.listen.peerPort}`;
   const loads = createLoadState();
   const servers: Server[] = [];
+  const listeners: Server[] = [];
   const connections = new Set<Socket>();
   let published: PublishedSettings | undefined;
   let isLeaving = false;
@@ -124,7 +125,10 @@
       versions.acceptVersion(report.settingsVersion);
       recordEra(report.settingsEra, report.host);
     },
-    handleJoined: () => promptParts.renewNotices(),
+    handleJoined: () => {
+      promptParts.renewNotices();
+      upstreams.renewLeaving();
+    },
   });
   const pauses = createPauseNotices({
     clock,
@@ -261,20 +265,23 @@
       socket.once("close", () => connections.delete(socket));
     });
     servers.push(callers);
-    await openHttpListener(
-      listen.readiness,
-      {},
-      (request, response) => answers.answerReadiness(request.url ?? "/", response),
-    );
-    await openHttpListener(
-      listen.directory,
-      {},
-      (request, response) => answers.answerDirectory(request.url ?? "/", response),
-    );
-    await openHttpListener(
-      `${config.host.address}:${listen.metricsPort}`,
-      {},
-      (_request, response) => answers.answerMetrics(response),
+    listeners.push(
+      callers,
+      await openHttpListener(
+        listen.readiness,
+        {},
+        (request, response) => answers.answerReadiness(request.url ?? "/", response),
+      ),
+      await openHttpListener(
+        listen.directory,
+        {},
+        (request, response) => answers.answerDirectory(request.url ?? "/", response),
+      ),
+      await openHttpListener(
+        `${config.host.address}:${listen.metricsPort}`,
+        {},
+        (_request, response) => answers.answerMetrics(response),
+      ),
     );
   };
 
@@ -313,9 +320,9 @@
     limits.stop();
     options.feed.stop();
     hosts.stop();
-    servers.forEach((server) => {
-      server.close();
-      server.closeAllConnections();
+    listeners.forEach((listener) => {
+      listener.close();
+      listener.closeAllConnections();
     });
   };
 
--- a/packages/daemon/src/gateway/create_upstream_view.ts
+++ b/packages/daemon/src/gateway/create_upstream_view.ts
@@ -1,4 +1,5 @@
 import type { Clock, Logger, Metrics } from "@crocussail/protocol";
+import { HOST_LIMITS } from "../fleet_hosts/mod.ts";
 import {
   applyJoinedRecord,
   applyUpstreamRecord,
@@ -48,6 +49,8 @@
    * drain only because their record is absent.
    */
   listLeaving(maxAgeMs: number): [string, number, boolean][];
+  /** Lists all draining upstreams again for a while, for a host that has joined. */
+  renewLeaving(): void;
   /** Lists the records of upstreams that became ready up to `maxAgeMs` ago. */
   listJoined(maxAgeMs: number): UpstreamRecord[];
 }
@@ -56,6 +59,7 @@
 export function createUpstreamView(options: UpstreamViewOptions): UpstreamView {
   const { clock, logger, metrics } = options;
   const state = createUpstreamState();
+  let renewedUntilMs = Number.NEGATIVE_INFINITY;
   const reportLeaving = (upstream: Upstream | undefined, by: string, isLocallyObserved = true) => {
     if (upstream === undefined) {
       return;
@@ -134,6 +138,9 @@
         metrics.gauge("upstreams.known", count, { status });
       }
     },
+    renewLeaving: () => {
+      renewedUntilMs = clock.readMonotonicMs() + HOST_LIMITS.upstreamReportMs;
+    },
     listJoined: (maxAgeMs) => {
       const nowMs = clock.readMonotonicMs();
       return [...state.upstreams.values()]
@@ -143,7 +150,10 @@
     listLeaving: (maxAgeMs) => {
       const nowMs = clock.readMonotonicMs();
       return [...state.upstreams.values()]
-        .filter(({ status, sinceMs }) => status === "leaving" && nowMs - sinceMs <= maxAgeMs)
+        .filter(({ status, sinceMs }) =>
+          status === "leaving" && (nowMs - sinceMs <= maxAgeMs || nowMs < renewedUntilMs)
+        )
+        .slice(-HOST_LIMITS.maxReportedLeaving)
         .map(({ record, isAbsent }) => [record.id, record.startedAt, isAbsent]);
     },
   };
