Hold a started host's first settings while other hosts have later ones

What callers saw: with a store that had come back from an older copy, a host that was restarted then accepted a key that had been withdrawn, until the operator's version was written again. Cause: a new process takes whatever it reads first; only hosts that had the later version kept it. Change: the first settings are applied when another live host has no later version, or, for a host that hears from none, 600 ms after its start.

--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -21,6 +21,11 @@
    * itself. The rest of the time is for the read.
    */
   maxAgeShareOfDrain: 0.5,
+  /**
+   * Time after its start in which a host that has heard from no other one applies no settings; the
+   * answer of a live seed takes some 10 ms.
+   */
+  discoveryMs: 600,
   /** Time after its start in which a host does not read for the fleet: it discovers the others. */
   readerSettleMs: 600,
   /**
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -18,6 +18,7 @@
 import { createUpstreamReading } from "./create_upstream_reading.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
 import { createVersionNotices } from "./create_version_notices.ts";
+import { decideFirstSettings } from "./decide_first_settings.ts";
 import { describeLoads } from "./describe_loads.ts";
 import { describeUpstreams } from "./describe_upstreams.ts";
 import { findPause } from "./find_pause.ts";
@@ -51,7 +52,12 @@
   const servers: Server[] = [];
   const listeners: Server[] = [];
   const connections = new Set<Socket>();
+  const startedAtMs = clock.readMonotonicMs();
+  const seedAddresses = listSeedAddresses(config.peers.seeds, config.listen.peerPort);
+  const hasOtherSeeds = seedAddresses.some((address) => address !== peerAddress);
   let published: PublishedSettings | undefined;
+  /** Settings that this process has read but not applied, because other hosts may have later ones. */
+  let heldSettings: PublishedSettings | undefined;
   let isLeaving = false;
   let leavingSinceMs = Number.POSITIVE_INFINITY;
   let isConfirmed = false;
@@ -115,7 +121,7 @@
     localHost,
     peerAddress,
     fleetKey: config.fleet.key,
-    seeds: listSeedAddresses(config.peers.seeds, config.listen.peerPort),
+    seeds: seedAddresses,
     buildReport: describeHost,
     applyReport: ({ report, ageMs }) => {
       const sentAtMs = clock.readMonotonicMs() - ageMs;
@@ -124,6 +130,7 @@
       limits.acceptReport(report, ageMs);
       versions.acceptVersion(report.settingsVersion);
       recordEra(report.settingsEra, report.host);
+      applyHeldSettings();
     },
     handleJoined: () => {
       promptParts.renewNotices();
@@ -224,10 +231,25 @@
       options.feed.refreshAll();
     }
   };
+  const canBeFirst = ({ settings }: PublishedSettings) =>
+    decideFirstSettings({
+      version: settings.version,
+      versionsElsewhere: hosts.listLive().map(({ settingsVersion }) => settingsVersion),
+      isDiscovering: hasOtherSeeds &&
+        clock.readMonotonicMs() - startedAtMs < GATEWAY_LIMITS.discoveryMs,
+    }) === "apply";
   const applySettings = (next: PublishedSettings) => {
     if (!isNewerSettings(next, published)) {
       return;
     }
+    if (published === undefined && !canBeFirst(next)) {
+      if (heldSettings === undefined) {
+        logger.writeEvent("settingsHeldBack", { version: next.settings.version });
+      }
+      heldSettings = next;
+      return;
+    }
+    heldSettings = undefined;
     published = next;
     const { limits, version } = next.settings;
     for (const server of servers) {
@@ -239,6 +261,12 @@
     hosts.scheduleReport();
   };
 
+  const applyHeldSettings = () => {
+    if (heldSettings !== undefined) {
+      applySettings(heldSettings);
+    }
+  };
+
   const answers = createGatewayAnswers({
     directory,
     metrics,
@@ -294,6 +322,7 @@
       options.feed.refreshAll();
     }
     upstreams.tick();
+    applyHeldSettings();
     const live = hosts.listLive();
     const rank = chooseReaders([localHost, ...live]).indexOf(localHost.host);
     if (rank !== readerRank) {
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -136,6 +136,12 @@
     title: "Settings service came back from an older copy; this host keeps its newer version",
     action: "Check that the operator's last version is written again",
   },
+  settingsHeldBack: {
+    number: 8035,
+    level: "info",
+    title: "Started host waits before it applies its first settings; others may have later ones",
+    action: "If it lasts, check that the operator's last version is written again",
+  },
   upstreamJoined: { number: 8040, level: "info", title: "Upstream is ready", action: "none" },
   upstreamLeft: {
     number: 8041,
