Keep a silent stream open until another engine resumes it

What callers saw: a stream whose engine paused for 1.2 s was cut 6 s later, although the engine went on sending, when the engine with the backup copy refused to resume it. Cause: the host closed the stream of a silent engine before it requested the other one. Change: a silent generation is resumed like one whose engine drains: its own stream stays open and is closed when the other one starts. It is tried again each 400 ms within the retry budget.

--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -19,10 +19,12 @@
   /** The same interval while no generation runs or waits, as on most hosts of a large fleet. */
   idleTickMs: 500,
   /**
-   * Time without an event after which a running generation resumes from its backup copy; far above
+   * Time without an event after which a running generation tries its backup copy; far above
    * the pauses that the prefill of other prompts causes.
    */
   eventTimeoutMs: 1_200,
+  /** Delay before the engine with the backup copy of a silent generation is requested again. */
+  silenceRetryMs: 400,
   /** Time from its first event after which a generation is well under way on an upstream. */
   firstStepsMs: 1_000,
   /** Base delay before a refused caller may retry. */
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -16,6 +16,7 @@
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
 import { readBody } from "./read_body.ts";
+import { getServiceBudget } from "./get_service_budget.ts";
 import { isHeldBack } from "./is_held_back.ts";
 import { listPartKeys } from "./list_part_keys.ts";
 import { migrateGeneration } from "./migrate_generation.ts";
@@ -71,7 +72,7 @@
       )
       .sort((left, right) => estimateRemaining(right) - estimateRemaining(left));
     for (const run of waiting.slice(0, FORWARDING_LIMITS.maxMigrationsPerUpstream - migrating)) {
-      migrateGeneration(context, run).catch((error) => reportFault(run.request, error));
+      migrateGeneration(context, run, "draining").catch((error) => reportFault(run.request, error));
     }
   };
   const reportFault = (request: Pick<ForwardedRequest, "requestId" | "reply">, error: unknown) => {
@@ -110,12 +111,16 @@
       run.finish("unknown");
       return;
     }
-    const isSilent = nowMs - run.lastEventAtMs > FORWARDING_LIMITS.eventTimeoutMs;
+    const isSilent = nowMs - run.lastEventAtMs > FORWARDING_LIMITS.eventTimeoutMs &&
+      nowMs >= run.silenceCheckAtMs;
     const hasBackup = run.inFlight?.copyUpstreamId !== undefined;
     if (
-      run.phase === "running" && isSilent && hasBackup && !run.isMigrating && run.sentEvents > 0
+      run.phase === "running" && isSilent && hasBackup && !run.isMigrating &&
+      run.sentEvents > 0 && getServiceBudget(context, request.service.name).hasRoom()
     ) {
-      run.restore("upstream sent no event within the event timeout");
+      // Its engine may only be slow, so its stream stays open until another engine resumes it.
+      run.silenceCheckAtMs = nowMs + FORWARDING_LIMITS.silenceRetryMs;
+      migrateGeneration(context, run, "silent").catch((error) => reportFault(request, error));
     }
   };
   const tick = () => {
--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -40,6 +40,8 @@
   longestGapMs: number;
   /** Monotonic time of the last event received; before the first, when the request was sent. */
   lastEventAtMs: number;
+  /** Monotonic time before which another engine is not requested because this one is silent. */
+  silenceCheckAtMs: number;
   /** A migration is in progress. */
   isMigrating: boolean;
   /** Resumes it from its backup copy after its stream failed, or ends it with an error. */
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -14,8 +14,11 @@
 
 const LIMIT_REACHED = "the upstream has reached the limit that it names";
 
+/** Why a generation migrates: its engine drains, or has sent no event for some time. */
+export type MigrationReason = "draining" | "silent";
+
 /**
- * Migrates a running generation away from a draining upstream: resumes it from the backup copy on
+ * Migrates a running generation away from its upstream: resumes it from the backup copy on
  * another upstream, or else copies its KV cache to a new one. It keeps running on its source until
  * the other upstream resumes it, so a failed step loses nothing. Resolves once it has resumed on
  * another upstream or no option is left.
@@ -23,17 +26,20 @@
 export async function migrateGeneration(
   context: ForwardingContext,
   run: GenerationRun,
+  reason: MigrationReason,
 ): Promise<void> {
   if (run.isMigrating || run.phase !== "running" || run.inFlight?.isPrefilling !== false) {
     return;
   }
-  const canMove = run.request.service.engine?.canMove === true;
+  // An engine that sends nothing may not answer a request to copy either.
+  const canMove = reason === "draining" && run.request.service.engine?.canMove === true;
   if (!canMove && findBackupCopy(context, run) === undefined) {
     return; // it stays on its engine until it ends
   }
   run.isMigrating = true;
   try {
-    const isFromBackup = await tryBackupCopy(context, run);
+    const maxWaitMs = reason === "draining" ? FORWARDING_LIMITS.maxBackupWaitMs : 0;
+    const isFromBackup = await tryBackupCopy(context, run, maxWaitMs);
     const hasMigrated = isFromBackup || (canMove && await migrateCache(context, run));
     const end = isFromBackup ? "fromCopy" : hasMigrated ? "copied" : "failed";
     context.metrics.increment("forwarding.moves", 1, { end });
@@ -43,7 +49,11 @@
 }
 
 /** Resumes from the backup copy; retries, because a recent copy may still be in transfer. */
-async function tryBackupCopy(context: ForwardingContext, run: GenerationRun): Promise<boolean> {
+async function tryBackupCopy(
+  context: ForwardingContext,
+  run: GenerationRun,
+  maxWaitMs: number,
+): Promise<boolean> {
   const startMs = context.clock.readMonotonicMs();
   for (;;) {
     const copy = findBackupCopy(context, run);
@@ -53,7 +63,7 @@
     if (await tryResume(context, run, copy.upstream, copy.source, "copy")) {
       return true;
     }
-    if (context.clock.readMonotonicMs() - startMs >= FORWARDING_LIMITS.maxBackupWaitMs) {
+    if (context.clock.readMonotonicMs() - startMs >= maxWaitMs) {
       return false;
     }
     await waitFor(context.clock, FORWARDING_LIMITS.backupRetryMs);
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -56,6 +56,7 @@
     firstEventMs: 0,
     longestGapMs: 0,
     lastEventAtMs: context.clock.readMonotonicMs(),
+    silenceCheckAtMs: 0,
     isMigrating: false,
     restore: (reason) => restoreGeneration(context, run, reason),
     finish: (end) => {
