End a request whose body does not arrive within its timeout

What callers saw: a caller that sent a byte of its body now and then was never answered, and kept a stopping host from ending before its grace period was over. Cause: the timeout of a request began after its body had been read; reading had none. Change: the body has to arrive within the request's timeout; then 408 with code 8009, which states that nothing was executed, and the connection is closed.

--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -49,6 +49,12 @@
 /** Shortest interval between checks, as a share of the mean one. */
 const MIN_TICK_SHARE = 0.5;
 
+const BODY_REFUSALS = {
+  tooLarge: "bodyTooLarge",
+  tooSlow: "bodyTooSlow",
+  overloaded: "noRoomInTime",
+} as const satisfies Record<string, RefusalCode>;
+
 /** Creates the forwarder. Its state has one entry for each request without a final response. */
 export function createForwarder(options: ForwarderOptions): Forwarder {
   const { context } = options;
@@ -255,7 +261,10 @@
       refuse(reply, "noRoomInTime");
       return;
     }
+    const timeoutMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const body = await readBody(incoming, {
+      clock,
+      timeoutMs,
       maxBytes: settings.limits.maxBodyBytes,
       readBufferedBytes: () => bufferedBytes,
     });
@@ -263,7 +272,9 @@
       return;
     }
     if (body.type !== "complete") {
-      refuse(reply, body.type === "tooLarge" ? "bodyTooLarge" : "noRoomInTime");
+      // The rest of a slow body may never come, so its connection is closed.
+      response.shouldKeepAlive &&= body.type !== "tooSlow";
+      refuse(reply, BODY_REFUSALS[body.type]);
       return;
     }
     const service = settings.services.get(chooseService(route, context.random) ?? "");
@@ -283,7 +294,6 @@
       refuse(reply, "requestHeldBack");
       return;
     }
-    const timeoutMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const request: ForwardedRequest = {
       ...identity,
       requestId,
--- a/packages/daemon/src/forwarding/read_body.ts
+++ b/packages/daemon/src/forwarding/read_body.ts
@@ -1,13 +1,17 @@
+import type { Clock } from "@crocussail/protocol";
 import type { IncomingMessage } from "node:http";
 import { FORWARDING_LIMITS } from "./constants.ts";
 
 /** A complete request body, or the reason why there is none. */
 export type BodyResult =
   | { readonly type: "complete"; readonly bytes: Uint8Array | undefined }
-  | { readonly type: "tooLarge" | "overloaded" | "callerLeft" };
+  | { readonly type: "tooLarge" | "tooSlow" | "overloaded" | "callerLeft" };
 
 /** Options of {@link readBody}. */
 export interface BodyOptions {
+  readonly clock: Clock;
+  /** Time for the whole body, in milliseconds. */
+  readonly timeoutMs: number;
   readonly maxBytes: number;
   /** Reads the total size of the other bodies that this host buffers. */
   readonly readBufferedBytes: () => number;
@@ -19,6 +23,7 @@
     const chunks: Uint8Array[] = [];
     let size = 0;
     const settle = (result: BodyResult) => {
+      timer.cancel();
       incoming.off("data", receive);
       if (result.type !== "complete") {
         incoming.resume();
@@ -34,6 +39,7 @@
         settle({ type: "overloaded" });
       }
     };
+    const timer = options.clock.startTimer(options.timeoutMs, () => settle({ type: "tooSlow" }));
     incoming.on("data", receive);
     incoming.once("end", () => {
       const hasBody = size > 0 || incoming.headers["content-length"] !== undefined ||
--- a/packages/daemon/src/forwarding/refusal_details.ts
+++ b/packages/daemon/src/forwarding/refusal_details.ts
@@ -5,6 +5,7 @@
   unknownKey: "the key belongs to no team",
   headersTooLarge: "the headers are larger than the published limit",
   bodyTooLarge: "the body is larger than the published limit",
+  bodyTooSlow: "the body did not arrive completely within the request's timeout",
   settingsUnknown: "this host has not loaded any published settings yet",
   noUpstreamLeft: "no service of the route accepts requests",
   requestHeldBack: "the request, or a part of its prompt, has crashed several upstreams",
--- a/packages/protocol/src/result_codes/forwarding_result_codes.ts
+++ b/packages/protocol/src/result_codes/forwarding_result_codes.ts
@@ -65,4 +65,11 @@
     title: "All upstreams have reached the number of requests a second that they take",
     advice: "Retry after the delay stated in the response",
   },
+  bodyTooSlow: {
+    number: 8009,
+    status: 408,
+    ran: "no",
+    title: "Request body did not arrive within the request's timeout",
+    advice: "Retry with the complete body at hand",
+  },
 } as const satisfies Record<string, ResultCodeEntry>;
