Check now and then whether an upstream's limit still holds

What callers saw: an upstream that named no limit any more stayed unused while others had room. Cause: a limit ends only by a response, and a limited upstream gets what others have no room for. Change: when no response has confirmed a limit for 5 s, one request with a permit goes there first. Result: upstream_limit_test: "is used again when its limit has ended" failed before with 0 of 40 requests, passes.

--- a/packages/daemon/src/forwarding/choose_plain_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_plain_upstream.ts
@@ -26,8 +26,8 @@
 
 /**
  * Chooses an upstream for a request of a plain service. One that names a limit is used for what the
- * others have no free slot for, and only with a permit. The request waits for one if there is no
- * other upstream.
+ * others have no free slot for, or to see whether its limit still holds, and only with a permit. The
+ * request waits for one if there is no other upstream.
  */
 export async function choosePlainUpstream(
   context: ForwardingContext,
@@ -48,7 +48,8 @@
     );
     const preferred = withRoom.length > 0 || limited.length > 0 ? withRoom : unlimited;
     const chosen = chooseServiceUpstream(preferred, random)?.upstream;
-    if (chosen !== undefined) {
+    const unconfirmed = limited.filter(({ upstream }) => limits.isUnconfirmed(upstream.record));
+    if (chosen !== undefined && unconfirmed.length === 0) {
       return { type: "placed", upstream: chosen };
     }
     if (limited.length === 0) {
@@ -57,7 +58,7 @@
     const canWait = unlimited.length === 0;
     const elapsedMs = nowMs - request.arrivedAtMs;
     const result = await claimLimitedUpstream(context, {
-      candidates: limited
+      candidates: (chosen === undefined ? limited : unconfirmed)
         .toSorted((left, right) => left.load.inFlight - right.load.inFlight)
         .map(({ upstream }) => upstream),
       priority: request.priority,
@@ -67,10 +68,10 @@
       hasEnded: request.reply.hasEnded,
     });
     if (result.type === "refused") {
-      const overloaded = chooseServiceUpstream(unlimited, random)?.upstream;
-      return overloaded === undefined
+      const other = chosen ?? chooseServiceUpstream(unlimited, random)?.upstream;
+      return other === undefined
         ? { type: "limited", retryAfterMs: result.retryAfterMs }
-        : { type: "placed", upstream: overloaded };
+        : { type: "placed", upstream: other };
     }
     const { record } = result.upstream;
     const still = listUsableUpstreams(
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -19,7 +19,10 @@
   readonly kvCache: KvCacheClient;
   readonly upstreams: UpstreamState;
   readonly loads: LoadState;
-  readonly limits: Pick<UpstreamLimits, "getLimit" | "getFreeInMs" | "requestPermit">;
+  readonly limits: Pick<
+    UpstreamLimits,
+    "getLimit" | "getFreeInMs" | "isUnconfirmed" | "requestPermit"
+  >;
   readonly quarantine: Pick<
     Quarantine,
     "isQuarantined" | "recordUpstreamCrash" | "recordRequestEnd"
--- a/packages/daemon/src/upstream_limits/constants.ts
+++ b/packages/daemon/src/upstream_limits/constants.ts
@@ -5,6 +5,11 @@
    * seen only in a response.
    */
   minPerSecond: 0.2,
+  /**
+   * Time after the last response of a limited upstream in which it is not used while others have
+   * room; then one request shows whether its limit still holds.
+   */
+  confirmMs: 5_000,
   /** Time for which unused permits are kept; one is always kept. */
   keptMs: 500,
   /**
--- a/packages/daemon/src/upstream_limits/create_upstream_limits.ts
+++ b/packages/daemon/src/upstream_limits/create_upstream_limits.ts
@@ -39,6 +39,8 @@
   listReported(): HostReport["limits"];
   /** Time in milliseconds until an upstream is expected to have a permit; 0 if it may have one now. */
   getFreeInMs(upstream: UpstreamIncarnation): number;
+  /** Whether no response has said for a while that the limit still holds. */
+  isUnconfirmed(upstream: UpstreamIncarnation): boolean;
   /** Requests the permit that a request to a limited upstream needs. */
   requestPermit(
     upstream: UpstreamIncarnation,
@@ -209,6 +211,11 @@
     },
     getFreeInMs: ({ id }) =>
       Math.max(0, (freeAtMs.get(id) ?? Number.NEGATIVE_INFINITY) - clock.readMonotonicMs()),
+    isUnconfirmed: (upstream) => {
+      const known = table.getObservation(upstream);
+      return known?.perSecond !== undefined &&
+        clock.readMonotonicMs() - known.receivedAtMs > PERMIT_LIMITS.confirmMs;
+    },
     requestPermit: (upstream, request, handleResult) =>
       client.requestPermit(upstream, request, (result) => {
         metrics.increment("upstreams.permits", 1, { end: result.type });
