Keep a permit when the upstream's record has been written again meanwhile

Cause: after the wait for a permit, the upstream was compared by its record, which is replaced at each write; the permit was then lost, three times at most before a refusal. Change: compare the incarnation.

--- a/packages/daemon/src/forwarding/choose_plain_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_plain_upstream.ts
@@ -1,6 +1,6 @@
 import { chooseServiceUpstream, listCandidates } from "../balancing/mod.ts";
 import type { PendingPermit } from "../upstream_limits/mod.ts";
-import { listUsableUpstreams } from "../upstreams/mod.ts";
+import { isSameIncarnation, listUsableUpstreams } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { claimLimitedUpstream } from "./claim_limited_upstream.ts";
 import { computeMaxWait } from "./compute_max_wait.ts";
@@ -79,7 +79,7 @@
       request.service.name,
       clock.readMonotonicMs(),
     );
-    if (still.some((upstream) => upstream.record === record)) {
+    if (still.some((upstream) => isSameIncarnation(upstream.record, record))) {
       return { type: "placed", upstream: result.upstream };
     }
   }
--- a/packages/daemon/src/forwarding/create_limited_start.ts
+++ b/packages/daemon/src/forwarding/create_limited_start.ts
@@ -1,5 +1,6 @@
 import type { UpstreamCandidate } from "../balancing/mod.ts";
 import type { PendingPermit } from "../upstream_limits/mod.ts";
+import { isSameIncarnation } from "../upstreams/mod.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import type { GenerationChoice } from "./choose_generation_upstream.ts";
 import { claimLimitedUpstream } from "./claim_limited_upstream.ts";
@@ -65,8 +66,9 @@
         among: "limited",
         excluded: new Set([...choice.excluded, ...others.map(({ record }) => record.id)]),
       });
-      const isStillPlaceable = chosen?.upstream.record === result.upstream.record;
-      if (isStillPlaceable && !isHeldBack(context, run.request)) {
+      const isPlaceable = chosen !== undefined &&
+        isSameIncarnation(chosen.upstream.record, result.upstream.record);
+      if (isPlaceable && !isHeldBack(context, run.request)) {
         options.startAttempt(chosen);
       }
       return undefined;
