Send a plain upstream no more requests at once than it accepts connections

What callers saw: requests beyond the connections that an upstream accepts were reset and answered 502 with an unknown outcome. Change: an upstream with that many requests in flight over all hosts, as far as reported, is not chosen; the request goes elsewhere or is refused as not executed. Other hosts' short requests are known from regular reports only, so several hosts may still exceed it together for a moment. Result: connection_limit_test passed (seven of ten requests got 502 before, 503 now); gateway_path: passed.

--- a/packages/daemon/src/forwarding/choose_plain_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_plain_upstream.ts
@@ -39,7 +39,9 @@
     const nowMs = clock.readMonotonicMs();
     const usable = listUsableUpstreams(context.upstreams, request.service.name, nowMs);
     const candidates = listCandidates(loads, usable, nowMs)
-      .filter(({ upstream }) => !options.tried.has(upstream.record.id));
+      .filter(({ upstream, load }) =>
+        !options.tried.has(upstream.record.id) && load.inFlight < request.service.maxConnections
+      );
     const isLimited = (upstream: Upstream) => limits.getLimit(upstream.record) !== undefined;
     const unlimited = candidates.filter(({ upstream }) => !isLimited(upstream));
     const limited = candidates.filter(({ upstream }) => isLimited(upstream));
--- a/packages/daemon/src/routes/route_settings.ts
+++ b/packages/daemon/src/routes/route_settings.ts
@@ -18,6 +18,8 @@
 export interface ServiceSettings {
   readonly name: string;
   readonly engine: EngineLimits | undefined;
+  /** Connections that an upstream accepts from all hosts together; it resets further ones. */
+  readonly maxConnections: number;
 }
 
 /** A team that owns keys. */
