Let the owner settle before the test of large fleets measures

Cause: the shortened warm-up of the test ended within the 2 s in which a started host grants nothing, so 4 of the 5 requests wanted were granted; bounds stay as they were. Change: three seconds of load before the measured ones.

--- a/packages/daemon/src/upstream_limits/create_upstream_limits_test.ts
+++ b/packages/daemon/src/upstream_limits/create_upstream_limits_test.ts
@@ -165,7 +165,8 @@
   for (const hosts of [80, 195]) {
     it(`are kept and used by ${hosts} hosts, callers at one host, then at all`, async () => {
       const fleet = await createLimitedFleet({ hosts, limit: 2.4 });
-      await fleet.runLoad({ seconds: 1, perSecond: 20, chooseHost: () => 5 });
+      // The owner has just started and settles first.
+      await fleet.runLoad({ seconds: 3, perSecond: 20, chooseHost: () => 5 });
       const used = await fleet.runLoad({ seconds: 3, perSecond: 20, chooseHost: () => 5 });
       expect(used).to.be.at.least(Math.floor(USED_SHARE * 2.4 * 3));
       const usedByAll = await fleet.runLoad({
