--- a/packages/protocol/src/glossary.ts
+++ b/packages/protocol/src/glossary.ts
@@ -150,6 +150,12 @@
     fieldTerm: "",
     meaning: "The memory of an engine for the attention state of a generation, measured in tokens",
   },
+  {
+    term: "limit",
+    fieldTerm: "global rate limit",
+    meaning:
+      "Requests a second that an upstream takes from all hosts together, as its responses name it",
+  },
   {
     term: "migration",
     fieldTerm: "live migration",
@@ -166,6 +172,12 @@
     fieldTerm: "non-idempotent request",
     meaning: "A call of a plain service that may be executed at most once for each idempotency key",
   },
+  {
+    term: "permit",
+    fieldTerm: "token",
+    meaning:
+      "The right to send one request to an upstream with a limit, granted by the host that owns it",
+  },
   {
     term: "placement",
     fieldTerm: "scheduling",
