Split the listeners and the active settings out of the gateway

Change: create_gateway_listeners.ts and create_active_settings.ts; the listener applies the limits that are known when it opens.

--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -1,7 +1,4 @@
 import type { Timer } from "@crocussail/protocol";
-import type { Server } from "node:http";
-import type { Socket } from "node:net";
-import type { PublishedSettings } from "../adapters/deployment_feed.ts";
 import { createLoadState } from "../balancing/mod.ts";
 import { chooseAddresses, createFleetHosts } from "../fleet_hosts/mod.ts";
 import type { LocalReport } from "../fleet_hosts/mod.ts";
@@ -12,22 +9,20 @@
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
+import { createActiveSettings } from "./create_active_settings.ts";
 import { createGatewayAnswers } from "./create_gateway_answers.ts";
+import { createGatewayListeners } from "./create_gateway_listeners.ts";
 import { createObservedExchange } from "./create_observed_exchange.ts";
 import { createPauseNotices } from "./create_pause_notices.ts";
 import { createUpstreamReading } from "./create_upstream_reading.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
 import { createVersionNotices } from "./create_version_notices.ts";
-import { decideFirstSettings } from "./decide_first_settings.ts";
 import { describeLoads } from "./describe_loads.ts";
 import { describeUpstreams } from "./describe_upstreams.ts";
 import { findPause } from "./find_pause.ts";
 import type { GatewayOptions } from "./gateway_options.ts";
-import { isNewerSettings } from "./is_newer_settings.ts";
 import { listSeedAddresses } from "./list_seed_addresses.ts";
-import { openHttpListener } from "./open_http_listener.ts";
 import { readPeerLoads } from "./read_peer_loads.ts";
-import { waitForDrain } from "./wait_for_drain.ts";
 
 /** A daemon that forwards requests by published routes. */
 export interface Gateway {
@@ -49,15 +44,7 @@
   const incarnation = random.nextHex(INCARNATION_BYTES);
   const peerAddress = `${config.host.address}:${config.listen.peerPort}`;
   const loads = createLoadState();
-  const servers: Server[] = [];
-  const listeners: Server[] = [];
-  const connections = new Set<Socket>();
-  const startedAtMs = clock.readMonotonicMs();
   const seedAddresses = listSeedAddresses(config.peers.seeds, config.listen.peerPort);
-  const hasOtherSeeds = seedAddresses.some((address) => address !== peerAddress);
-  let published: PublishedSettings | undefined;
-  /** Settings that this process has read but not applied, because other hosts may have later ones. */
-  let heldSettings: PublishedSettings | undefined;
   let isLeaving = false;
   let leavingSinceMs = Number.POSITIVE_INFINITY;
   let isConfirmed = false;
@@ -82,7 +69,7 @@
     isOutageRecent: () => upstreams.isOutageRecent(),
   });
   const versions = createVersionNotices({
-    readVersion: () => published?.settings.version,
+    readVersion: () => readSettings()?.version,
     refreshSettings: () => options.feed.refreshSettings(),
   });
   const upstreams = createUpstreamView({
@@ -96,7 +83,7 @@
       forwarder.migrateFrom(upstream);
     },
   });
-  const isReady = () => published !== undefined && !isLeaving;
+  const isReady = () => readSettings() !== undefined && !isLeaving;
   const describeHost = (): LocalReport => ({
     host: config.host.name,
     incarnation,
@@ -106,7 +93,7 @@
     size: localHost.size,
     isReady: isReady(),
     isLeaving,
-    settingsVersion: published?.settings.version ?? 0,
+    settingsVersion: readSettings()?.version ?? 0,
     settingsEra: era,
     ...describeLoads(loads, hosts.listLive().length + 1),
     ...describeUpstreams(upstreams, reading),
@@ -130,7 +117,7 @@
       limits.acceptReport(report, ageMs);
       versions.acceptVersion(report.settingsVersion);
       recordEra(report.settingsEra, report.host);
-      applyHeldSettings();
+      settings.applyHeld();
     },
     handleJoined: () => {
       promptParts.renewNotices();
@@ -214,7 +201,7 @@
       reportLoadIncrease: () => hosts.scheduleUrgentReport(),
       reportLoadChange: () => hosts.scheduleReport(),
     },
-    readSettings: () => published?.settings,
+    readSettings: () => readSettings(),
     isLeaving: () => isLeaving,
     isLateInDrain: () => clock.readMonotonicMs() - leavingSinceMs >= GATEWAY_LIMITS.minDrainMs,
   });
@@ -226,46 +213,23 @@
     const isRestored = era > 0;
     era = next;
     if (isRestored) {
-      logger.writeEvent("storeRestored", { era, by, version: published?.settings.version ?? -1 });
+      logger.writeEvent("storeRestored", { era, by, version: readSettings()?.version ?? -1 });
       upstreams.recordRestore();
       options.feed.refreshAll();
     }
   };
-  const canBeFirst = ({ settings }: PublishedSettings) =>
-    decideFirstSettings({
-      version: settings.version,
-      versionsElsewhere: hosts.listLive().map(({ settingsVersion }) => settingsVersion),
-      isDiscovering: hasOtherSeeds &&
-        clock.readMonotonicMs() - startedAtMs < GATEWAY_LIMITS.discoveryMs,
-    }) === "apply";
-  const applySettings = (next: PublishedSettings) => {
-    if (!isNewerSettings(next, published)) {
-      return;
-    }
-    if (published === undefined && !canBeFirst(next)) {
-      if (heldSettings === undefined) {
-        logger.writeEvent("settingsHeldBack", { version: next.settings.version });
-      }
-      heldSettings = next;
-      return;
-    }
-    heldSettings = undefined;
-    published = next;
-    const { limits, version } = next.settings;
-    for (const server of servers) {
-      server.headersTimeout = limits.headerTimeoutMs;
-      server.keepAliveTimeout = limits.idleTimeoutMs;
-    }
-    metrics.gauge("settings.version", version);
-    logger.writeEvent("settingsInForce", { version, era: next.era, revision: next.revision });
-    hosts.scheduleReport();
-  };
-
-  const applyHeldSettings = () => {
-    if (heldSettings !== undefined) {
-      applySettings(heldSettings);
-    }
-  };
+  const settings = createActiveSettings({
+    clock,
+    logger,
+    metrics,
+    listVersionsElsewhere: () => hosts.listLive().map(({ settingsVersion }) => settingsVersion),
+    hasOtherSeeds: seedAddresses.some((address) => address !== peerAddress),
+    handleActive: (active) => {
+      listeners.applyLimits(active.settings.limits);
+      hosts.scheduleReport();
+    },
+  });
+  const readSettings = () => settings.get()?.settings;
 
   const answers = createGatewayAnswers({
     directory,
@@ -275,43 +239,18 @@
     maxTtlMs: config.directory.maxTtlSeconds * 1_000,
   });
 
-  const openListeners = async () => {
-    const { listen } = config;
-    const callers = await openHttpListener(listen.callers, {
-      maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
-      requestTimeout: 0, // reading a slow body is bounded by the request's own deadline
-      connectionsCheckingInterval: GATEWAY_LIMITS.connectionCheckMs,
-      noDelay: true,
-    }, (request, response) => {
+  const listeners = createGatewayListeners({
+    config,
+    clock,
+    answers,
+    handleRequest: (request, response) => {
       forwarder.handleRequest(request, response).catch((error) => {
         logger.writeEvent("requestFailed", { request: "unknown", reason: String(error) });
         response.destroy();
       });
-    });
-    callers.on("connection", (socket) => {
-      connections.add(socket);
-      socket.once("close", () => connections.delete(socket));
-    });
-    servers.push(callers);
-    listeners.push(
-      callers,
-      await openHttpListener(
-        listen.readiness,
-        {},
-        (request, response) => answers.answerReadiness(request.url ?? "/", response),
-      ),
-      await openHttpListener(
-        listen.directory,
-        {},
-        (request, response) => answers.answerDirectory(request.url ?? "/", response),
-      ),
-      await openHttpListener(
-        `${config.host.address}:${listen.metricsPort}`,
-        {},
-        (_request, response) => answers.answerMetrics(response),
-      ),
-    );
-  };
+    },
+    countOpen: forwarder.countOpen,
+  });
 
   const tick = () => {
     const now = readClocks();
@@ -322,7 +261,7 @@
       options.feed.refreshAll();
     }
     upstreams.tick();
-    applyHeldSettings();
+    settings.applyHeld();
     const live = hosts.listLive();
     const rank = chooseReaders([localHost, ...live]).indexOf(localHost.host);
     if (rank !== readerRank) {
@@ -349,17 +288,14 @@
     limits.stop();
     options.feed.stop();
     hosts.stop();
-    listeners.forEach((listener) => {
-      listener.close();
-      listener.closeAllConnections();
-    });
+    listeners.close();
   };
 
   return {
     start: async () => {
       await hosts.start();
       options.feed.start({
-        applySettings,
+        applySettings: settings.apply,
         applyUpstream: upstreams.applyRecord,
         removeUpstream: upstreams.removeRecord,
         applyUpstreamList: upstreams.applyList,
@@ -374,7 +310,7 @@
           upstreams.recordServiceResponding(isAvailable);
           logger.writeEvent(isAvailable ? "settingsFeedRegained" : "settingsFeedLost", {
             detail,
-            version: published?.settings.version ?? -1,
+            version: readSettings()?.version ?? -1,
           });
         },
         rejectValue: (key, reason) => logger.writeEvent("publishedValueRejected", { key, reason }),
@@ -386,7 +322,7 @@
             : GATEWAY_LIMITS.settingsPollTimeoutMs,
         maxBackoffMs: config.upstreams.drainMs * GATEWAY_LIMITS.maxBackoffShareOfDrain,
       });
-      await openListeners();
+      await listeners.open();
       forwarder.start();
       tick();
       logger.writeEvent("gatewayStarted", { incarnation, dataCentre: config.host.dataCentre });
@@ -399,15 +335,7 @@
       hosts.scheduleUrgentReport();
       leavingSinceMs = clock.readMonotonicMs();
       logger.writeEvent("gatewayLeaving", { running: forwarder.countRunning() });
-      await Promise.all(servers.map((server) =>
-        waitForDrain({
-          clock,
-          graceMs: config.shutdown.graceSeconds * 1_000 - GATEWAY_LIMITS.exitReserveMs,
-          countOpen: forwarder.countOpen,
-          server,
-          connections,
-        })
-      ));
+      await listeners.drain();
       logger.writeEvent("gatewayStopped", { running: forwarder.countRunning() });
       stop();
     },
--- /dev/null
+++ b/packages/daemon/src/gateway/create_gateway_listeners.ts
@@ -0,0 +1,100 @@
+import type { Clock } from "@crocussail/protocol";
+import type { RequestListener, Server } from "node:http";
+import type { Socket } from "node:net";
+import type { CallerLimits } from "../routes/mod.ts";
+import { GATEWAY_LIMITS } from "./constants.ts";
+import type { GatewayAnswers } from "./create_gateway_answers.ts";
+import type { GatewayConfig } from "./gateway_config_schema.ts";
+import { openHttpListener } from "./open_http_listener.ts";
+import { waitForDrain } from "./wait_for_drain.ts";
+
+/** Options of {@link createGatewayListeners}. */
+export interface GatewayListenersOptions {
+  readonly config: Pick<GatewayConfig, "host" | "listen" | "shutdown">;
+  readonly clock: Clock;
+  readonly answers: GatewayAnswers;
+  readonly handleRequest: RequestListener;
+  /** Counts the requests whose response has not been sent completely. */
+  readonly countOpen: () => number;
+}
+
+/** The HTTP listeners of a gateway: for callers, the readiness check, the directory and metrics. */
+export interface GatewayListeners {
+  open(): Promise<void>;
+  /** Applies the published limits of callers' connections. */
+  applyLimits(limits: CallerLimits): void;
+  /** Resolves when the requests and connections of callers have ended, or the grace period has. */
+  drain(): Promise<void>;
+  /** Closes the listeners and all connections. */
+  close(): void;
+}
+
+/** Creates the listeners, closed. */
+export function createGatewayListeners(options: GatewayListenersOptions): GatewayListeners {
+  const { config: { host, listen, shutdown }, clock, answers } = options;
+  const listeners: Server[] = [];
+  const connections = new Set<Socket>();
+  let callers: Server | undefined;
+  let limits: CallerLimits | undefined;
+
+  const applyLimits = (next: CallerLimits) => {
+    limits = next;
+    if (callers !== undefined) {
+      callers.headersTimeout = next.headerTimeoutMs;
+      callers.keepAliveTimeout = next.idleTimeoutMs;
+    }
+  };
+
+  return {
+    open: async () => {
+      callers = await openHttpListener(listen.callers, {
+        maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
+        requestTimeout: 0, // reading a slow body is bounded by the request's own timeout
+        connectionsCheckingInterval: GATEWAY_LIMITS.connectionCheckMs,
+        noDelay: true,
+      }, options.handleRequest);
+      callers.on("connection", (socket) => {
+        connections.add(socket);
+        socket.once("close", () => connections.delete(socket));
+      });
+      if (limits !== undefined) {
+        applyLimits(limits);
+      }
+      listeners.push(
+        callers,
+        await openHttpListener(
+          listen.readiness,
+          {},
+          (request, response) => answers.answerReadiness(request.url ?? "/", response),
+        ),
+        await openHttpListener(
+          listen.directory,
+          {},
+          (request, response) => answers.answerDirectory(request.url ?? "/", response),
+        ),
+        await openHttpListener(
+          `${host.address}:${listen.metricsPort}`,
+          {},
+          (_request, response) => answers.answerMetrics(response),
+        ),
+      );
+    },
+    applyLimits,
+    drain: async () => {
+      if (callers !== undefined) {
+        await waitForDrain({
+          clock,
+          graceMs: shutdown.graceSeconds * 1_000 - GATEWAY_LIMITS.exitReserveMs,
+          countOpen: options.countOpen,
+          server: callers,
+          connections,
+        });
+      }
+    },
+    close: () =>
+      listeners.forEach((listener) => {
+        listener.close();
+        listener.closeAllConnections();
+      }),
+  };
+}
