Skip the sum of loads when no upstream is left to choose

Cause: a waiting generation also looks for limited upstreams at each check, which summed up the loads of all hosts again although most deployments have none. Change: return before the sum. Result: upstream_limit_test, generations and waiting: passed.

--- a/packages/daemon/src/forwarding/choose_generation_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_generation_upstream.ts
@@ -67,6 +67,9 @@
     !choice.excluded.has(record.id) &&
     (context.limits.getLimit(record) !== undefined) === isLimited
   );
+  if (usable.length === 0) {
+    return undefined; // the loads of all hosts need not be summed up
+  }
   const candidates = listCandidates(context.loads, usable, nowMs);
   return chooseEngine(candidates, {
     random: context.random,
