--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -24,7 +24,7 @@
    */
   eventTimeoutMs: 1_200,
   /** Delay before the engine with the backup copy of a silent generation is requested again. */
-  silenceRetryMs: 400,
+  silenceRetryMs: 200,
   /** Time from its first event after which a generation is well under way on an upstream. */
   firstStepsMs: 1_000,
   /** Base delay before a refused caller may retry. */
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -38,8 +38,7 @@
   }
   run.isMigrating = true;
   try {
-    const maxWaitMs = reason === "draining" ? FORWARDING_LIMITS.maxBackupWaitMs : 0;
-    const isFromBackup = await tryBackupCopy(context, run, maxWaitMs);
+    const isFromBackup = await tryBackupCopy(context, run, reason);
     const hasMigrated = isFromBackup || (canMove && await migrateCache(context, run));
     const end = isFromBackup ? "fromCopy" : hasMigrated ? "copied" : "failed";
     context.metrics.increment("forwarding.moves", 1, { end });
@@ -52,12 +51,15 @@
 async function tryBackupCopy(
   context: ForwardingContext,
   run: GenerationRun,
-  maxWaitMs: number,
+  reason: MigrationReason,
 ): Promise<boolean> {
+  const maxWaitMs = reason === "draining" ? FORWARDING_LIMITS.maxBackupWaitMs : 0;
   const startMs = context.clock.readMonotonicMs();
   for (;;) {
     const copy = findBackupCopy(context, run);
-    if (run.phase !== "running" || copy?.upstream.status !== "ready") {
+    // A silent stream has no better place, as after its connection is lost; a draining one has.
+    const isUsable = reason === "silent" || copy?.upstream.status === "ready";
+    if (run.phase !== "running" || copy === undefined || !isUsable) {
       return false;
     }
     if (await tryResume(context, run, copy.upstream, copy.source, "copy")) {
