Record when a host reaches no upstream of a service

The logs of a host that had lost its links to all upstreams showed timed-out connections, as for one upstream that crashed: neither when the host could have known, nor whether others reached the service at that time.

Each connection that ends before a response and each response are recorded by service. When two upstreams in a row, or all of fewer, cannot be reached, the event serviceUnreachable says so with the number of hosts that reach the service, and reports to other hosts contain it; serviceReached says when it ended. Nothing is decided by it yet.

--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -77,6 +77,8 @@
   noticeReportMs: 3_000,
   /** Largest number of notices in a report that a relay merged from several. */
   maxReportNotices: 8,
+  /** Maximum services in a report that its host does not reach. */
+  maxReportedServices: 64,
   /** Notices in a report; with them a report fits into two packets of 1,500 bytes. */
   noticesPerReport: 2,
   /** Notices of this host stored for hosts that join later; at the limit the oldest is dropped. */
--- a/packages/daemon/src/fleet_hosts/host_report_fields.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_fields.ts
@@ -22,6 +22,7 @@
   "leaving",
   "joined",
   "limits",
+  "unreachableServices",
   "notices",
   "peers",
 ] as const satisfies readonly (keyof HostReport)[];
--- a/packages/daemon/src/fleet_hosts/host_report_schema.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_schema.ts
@@ -75,6 +75,8 @@
     z.number().min(0),
     z.number().min(0),
   ])).max(64),
+  /** Names of the services whose upstreams the host does not reach. */
+  unreachableServices: z.array(z.string().max(200)).max(HOST_LIMITS.maxReportedServices),
   /** Notices for all hosts: topic, key, remaining lifetime in milliseconds, unvalidated payload. */
   notices: z.array(z.tuple([
     z.string().max(64),
--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -132,6 +132,7 @@
           upstreamsAgeMs: null,
           joined: [],
           limits: options.listLimits?.(index) ?? [],
+          unreachableServices: [],
         }),
         applyReport: (received) => {
           reports.set(received.report.host, received.report);
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -1,9 +1,10 @@
 import type { Timer } from "@crocussail/protocol";
 import { createLoadState } from "../balancing/mod.ts";
-import { chooseAddresses, createFleetHosts } from "../fleet_hosts/mod.ts";
+import { chooseAddresses, createFleetHosts, HOST_LIMITS } from "../fleet_hosts/mod.ts";
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
 import { createPromptPartQuarantine, createQuarantine } from "../quarantine/mod.ts";
+import { createReachability } from "../reachability/mod.ts";
 import { createUpstreamLimits } from "../upstream_limits/mod.ts";
 import { findUpstreamAt } from "../upstreams/mod.ts";
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
@@ -98,6 +99,7 @@
     ...describeLoads(loads, hosts.listLive().length + 1),
     ...describeUpstreams(upstreams, reading),
     limits: limits.listReported(),
+    unreachableServices: reachability.listUnreachable().slice(0, HOST_LIMITS.maxReportedServices),
   });
   const hosts = createFleetHosts({
     clock,
@@ -142,6 +144,19 @@
     hosts,
     isLeaving: () => isLeaving,
   });
+  const reachability = createReachability({
+    clock,
+    logger,
+    metrics,
+    listUpstreamIds: (service) =>
+      [...upstreams.state.upstreams.values()]
+        .filter(({ record, status }) => record.service === service && status === "ready")
+        .map(({ record }) => record.id),
+    countHostsReaching: (service) =>
+      hosts.listLive().filter(({ unreachableServices }) => !unreachableServices.includes(service))
+        .length,
+    handleChange: () => hosts.scheduleUrgentReport(),
+  });
   const openExchange = createObservedExchange({
     openExchange: options.openExchange,
     dialect,
@@ -152,6 +167,10 @@
         metrics.increment("upstreams.limitedRequests");
       }
     },
+    recordReach: ({ record }, hasResponded, startedAtMs) => {
+      const attempt = { upstreamId: record.id, service: record.service, startedAtMs };
+      hasResponded ? reachability.recordContact(attempt) : reachability.recordFailure(attempt);
+    },
     recordSignals: (upstream, signals, sentAtMs) => {
       if (signals.isLeaving) {
         upstreams.markLeavingBySignal(upstream);
--- a/packages/daemon/src/gateway/create_observed_exchange.ts
+++ b/packages/daemon/src/gateway/create_observed_exchange.ts
@@ -13,6 +13,8 @@
   readonly recordRequest: (upstream: Upstream) => void;
   /** Receives the signals of a response and the monotonic time at which its request was sent. */
   readonly recordSignals: (upstream: Upstream, signals: UpstreamSignals, sentAtMs: number) => void;
+  /** Called with whether the upstream has responded, and when its request was sent. */
+  readonly recordReach: (upstream: Upstream, hasResponded: boolean, sentAtMs: number) => void;
 }
 
 /**
@@ -24,20 +26,28 @@
   return (request, handler) => {
     const upstream = options.findUpstream(request.address);
     const sentAtMs = options.readMonotonicMs();
+    let hasHead = false;
     if (upstream !== undefined) {
       options.recordRequest(upstream);
     }
     return options.openExchange(request, {
       receiveHead: (status, statusText, rawHeaders) => {
         const signals = options.dialect.decodeSignals(status, rawHeaders);
+        hasHead = true;
         if (upstream !== undefined) {
+          options.recordReach(upstream, true, sentAtMs);
           options.recordSignals(upstream, signals, sentAtMs);
         }
         handler.receiveHead(status, statusText, signals.headers);
       },
       receiveData: (chunk) => handler.receiveData(chunk),
       end: () => handler.end(),
-      fail: (isSent, reason) => handler.fail(isSent, reason),
+      fail: (isSent, reason) => {
+        if (upstream !== undefined && !hasHead) {
+          options.recordReach(upstream, false, sentAtMs);
+        }
+        handler.fail(isSent, reason);
+      },
     });
   };
 }
--- /dev/null
+++ b/packages/daemon/src/reachability/mod.ts
@@ -0,0 +1,7 @@
+/** Which services a host reaches, by its own connections to their upstreams. @module */
+export { createReachability } from "./create_reachability.ts";
+export type {
+  Reachability,
+  ReachabilityAttempt,
+  ReachabilityOptions,
+} from "./create_reachability.ts";
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -173,6 +173,18 @@
     title: "Upstream names no limit any more",
     action: "none",
   },
+  serviceUnreachable: {
+    number: 8046,
+    level: "warn",
+    title: "No connection of this host to the upstreams of a service succeeds",
+    action: "hostsReaching above 0: check this host's links; 0: check the service",
+  },
+  serviceReached: {
+    number: 8047,
+    level: "info",
+    title: "Upstreams of an unreachable service respond to this host again",
+    action: "none",
+  },
   hostJoined: {
     number: 8050,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -145,6 +145,11 @@
     unit: "pauses",
     meaning: "Pauses that upstreams have asked this host for",
   },
+  "upstreams.unreachableServices": {
+    type: "gauge",
+    unit: "services",
+    meaning: "Services of which this host reaches no upstream",
+  },
   "upstreams.limited": {
     type: "gauge",
     unit: "upstreams",
