Hand requests to a host that reaches the service when this one does not

Callers of hosts that had lost their links to all upstreams were served almost never (3 of 41 first tries, others 144 of 145), though callers, the store and the other hosts still reached those hosts.

Cause: a host's own links were the only way to an upstream. Each request found the cut anew with four connections of 400 ms, and the host had nowhere else to send it.

Change: a host that cannot reach two upstreams of a service in a row, a probe of another one included, hands each request of it as a whole to a host that does not report the same, over a connection of its own, signed with the fleet's key and at most one hop. The other host handles it as for its own caller; the first passes the response on as it arrives. What the other host may have received counts as possibly executed, unless it refuses; only then another host is offered the request. The caller's disconnection, the deadline and the count in the retry budget go along. An unreachable service is probed each half second by a bare connection until one upstream keeps it; hosts of the same data centre check theirs when one reports. Losses of a host without links count neither as crashes nor against the upstreams.

--- a/packages/daemon/src/forwarding/check_request.ts
+++ b/packages/daemon/src/forwarding/check_request.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage } from "node:http";
 import type { CallerRequestHead } from "../adapters/deployment_dialect.ts";
 import { findRoute } from "../routes/mod.ts";
 import type { Route, RouteSettings, RouteTeam } from "../routes/mod.ts";
@@ -11,18 +10,23 @@
   readonly team: RouteTeam | undefined;
 }
 
+/** A request whose head has been received. */
+export interface ReceivedHead extends Pick<CallerRequestHead, "requestId" | "teamKey"> {
+  /** Path and query. */
+  readonly target: string;
+  /** Value of the `Host` header. */
+  readonly hostName: string | undefined;
+  readonly headerBytes: number;
+}
+
 /** Finds the route and team of a request, or the code of the reason for refusing it. */
 export function checkRequest(
   settings: RouteSettings,
-  incoming: IncomingMessage,
-  { requestId, teamKey }: Pick<CallerRequestHead, "requestId" | "teamKey">,
+  { requestId, teamKey, target, hostName, headerBytes }: ReceivedHead,
 ): ValidatedRequest | RefusalCode {
-  const target = incoming.url ?? "/";
-  const hostName = incoming.headers.host;
   if (requestId === undefined || hostName === undefined || !target.startsWith("/")) {
     return "invalidRequest";
   }
-  const headerBytes = incoming.rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
   if (headerBytes > settings.limits.maxHeaderBytes) {
     return "headersTooLarge";
   }
--- a/packages/daemon/src/forwarding/create_caller_reply.ts
+++ b/packages/daemon/src/forwarding/create_caller_reply.ts
@@ -14,11 +14,13 @@
   readonly isLeaving: () => boolean;
   /** Called before this host sends a problem document. */
   readonly recordRefusal: (code: ResultCodeName, detail: string, retryAfterMs: number) => void;
+  /** Lists headers that are added to a response; `code` is that of a problem document. */
+  readonly listOwnHeaders?: (code: ResultCodeName | undefined) => readonly string[];
 }
 
 /** Wraps an HTTP response as the reply to one caller. */
 export function createCallerReply(options: CallerReplyOptions): CallerReply {
-  const { response, dialect } = options;
+  const { response, dialect, listOwnHeaders = () => [] } = options;
   let hasEnded = false;
   const prepareHead = () => {
     response.sendDate = false;
@@ -28,7 +30,10 @@
   };
   const startStream: CallerReply["startStream"] = (status, statusText, rawHeaders) => {
     prepareHead();
-    response.writeHead(status, statusText, removeHopByHopHeaders(rawHeaders, ["content-length"]));
+    response.writeHead(status, statusText, [
+      ...removeHopByHopHeaders(rawHeaders, ["content-length"]),
+      ...listOwnHeaders(undefined),
+    ]);
   };
   return {
     startStream,
@@ -41,7 +46,7 @@
       const headers = removeHopByHopHeaders(rawHeaders, ["content-length"]);
       const hasBody = status !== 204 && status !== 304;
       const length = hasBody ? ["Content-Length", String(body.length)] : [];
-      response.writeHead(status, statusText, [...headers, ...length]);
+      response.writeHead(status, statusText, [...headers, ...length, ...listOwnHeaders(undefined)]);
       response.end(body);
     },
     sendChunk: (chunk) => {
@@ -68,6 +73,7 @@
         "Content-Length",
         String(body.length),
         ...(retryAfterMs === undefined ? [] : dialect.encodeRetryAdvice(retryAfterMs)),
+        ...listOwnHeaders(code),
       ]);
       response.end(body);
     },
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -4,6 +4,7 @@
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { chooseService } from "../routes/mod.ts";
 import type { RouteSettings } from "../routes/mod.ts";
+import type { AcceptedHandover } from "../handover/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { CallerReply } from "./caller_reply.ts";
 import { checkRequest } from "./check_request.ts";
@@ -36,7 +37,12 @@
 
 /** Forwards callers' requests by the published routes. */
 export interface Forwarder {
-  handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void>;
+  /** Handles a request of a caller, or one that another host has received and handed over. */
+  handleRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    handover?: AcceptedHandover,
+  ): Promise<void>;
   /** Migrates the generations that run on a draining upstream. */
   migrateFrom(upstream: Upstream): void;
   countRunning(): number;
@@ -224,12 +230,20 @@
     reply.refuse(code, detail, retryAfterMs);
   };
 
-  const handleRequest = async (incoming: IncomingMessage, response: ServerResponse) => {
+  const handleRequest: Forwarder["handleRequest"] = async (incoming, response, handover) => {
     open++;
     response.once("close", () => open--);
-    const arrivedAtMs = clock.readMonotonicMs();
+    const arrivedAtMs = clock.readMonotonicMs() - (handover?.ageMs ?? 0);
     const settings = options.readSettings();
-    const head = context.dialect.decodeRequest(incoming.rawHeaders);
+    const rawHeaders = handover?.rawHeaders ?? incoming.rawHeaders;
+    const head = context.dialect.decodeRequest(rawHeaders);
+    if (handover !== undefined) {
+      logger.writeEvent("handoverAccepted", {
+        request: head.requestId ?? "none",
+        from: handover.fromHost,
+        ageMs: handover.ageMs,
+      });
+    }
     const reply = createCallerReply({
       response,
       dialect: context.dialect,
@@ -242,6 +256,7 @@
           retryAfterMs,
           version: settings?.version ?? -1,
         }),
+      ...(handover === undefined ? {} : { listOwnHeaders: handover.listResponseHeaders }),
     });
     if (settings === undefined) {
       incoming.resume();
@@ -249,7 +264,13 @@
       return;
     }
     const target = incoming.url ?? "/";
-    const validated = checkRequest(settings, incoming, head);
+    const validated = checkRequest(settings, {
+      ...head,
+      target,
+      hostName: incoming.headers.host,
+      // The host that received the request has checked the size of its headers.
+      headerBytes: handover === undefined ? countHeaderBytes(rawHeaders) : 0,
+    });
     if (typeof validated === "string") {
       incoming.resume();
       refuse(reply, validated);
@@ -294,10 +315,14 @@
       refuse(reply, "requestHeldBack");
       return;
     }
+    if (handover !== undefined && context.reachability.isUnreachable(service.name)) {
+      refuse(reply, "noUpstreamLeft");
+      return;
+    }
     const request: ForwardedRequest = {
       ...identity,
       requestId,
-      rawHeaders: incoming.rawHeaders,
+      rawHeaders,
       head,
       fingerprint,
       partKeys,
@@ -306,6 +331,8 @@
       priority: team?.priority ?? route.priority,
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + timeoutMs,
+      handedOverBy: handover?.fromHost,
+      isCounted: handover?.isCounted ?? false,
       reply,
     };
     try {
@@ -324,3 +351,7 @@
     stop: () => timer?.cancel(),
   };
 }
+
+function countHeaderBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
+}
--- a/packages/daemon/src/forwarding/forwarded_request.ts
+++ b/packages/daemon/src/forwarding/forwarded_request.ts
@@ -23,5 +23,9 @@
   readonly arrivedAtMs: number;
   /** Monotonic time by which the final response must be sent. */
   readonly deadlineAtMs: number;
+  /** Name of the host that received it from its caller and handed it to this one. */
+  readonly handedOverBy: string | undefined;
+  /** Whether that host has counted it in the retry budget. */
+  readonly isCounted: boolean;
   readonly reply: CallerReply;
 }
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -3,7 +3,9 @@
 import type { KvCacheClient } from "../adapters/kv_cache_client.ts";
 import type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
 import type { LoadState } from "../balancing/mod.ts";
+import type { Handover } from "../handover/mod.ts";
 import type { PromptPartQuarantine, Quarantine } from "../quarantine/mod.ts";
+import type { Reachability } from "../reachability/mod.ts";
 import type { RetryBudgetLimits, RetryBudgetState } from "../retries/mod.ts";
 import type { UpstreamLimits } from "../upstream_limits/mod.ts";
 import type { UpstreamState } from "../upstreams/mod.ts";
@@ -23,6 +25,8 @@
     UpstreamLimits,
     "getLimit" | "getFreeInMs" | "isUnconfirmed" | "requestPermit"
   >;
+  readonly reachability: Pick<Reachability, "isUnreachable" | "isCutOff" | "verifyLinks">;
+  readonly handover: Handover;
   readonly quarantine: Pick<
     Quarantine,
     "isQuarantined" | "recordUpstreamCrash" | "recordRequestEnd"
--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -4,10 +4,10 @@
 import type { ForwardedRequest } from "./forwarded_request.ts";
 
 /**
- * `waiting` for room; `running` on an upstream; `switching` while another upstream is requested to
- * resume it; `ended` after the final response.
+ * `waiting` for room; `handedOver` to another host; `running` on an upstream; `switching` while
+ * another upstream is requested to resume it; `ended` after the final response.
  */
-export type GenerationPhase = "waiting" | "running" | "switching" | "ended";
+export type GenerationPhase = "waiting" | "handedOver" | "running" | "switching" | "ended";
 
 /** The response stream of a generation from one upstream. */
 export interface GenerationStream {
--- a/packages/daemon/src/forwarding/record_generation_loss.ts
+++ b/packages/daemon/src/forwarding/record_generation_loss.ts
@@ -34,7 +34,7 @@
       sinceFirstEventMs: Math.round(sinceFirstEventMs),
     });
     const key = findLostUpstreamKey(context, upstream);
-    if (key !== undefined) {
+    if (key !== undefined && !context.reachability.isCutOff()) {
       context.promptParts.recordCrash(key, request.partKeys);
     }
   }
--- a/packages/daemon/src/forwarding/record_upstream_loss.ts
+++ b/packages/daemon/src/forwarding/record_upstream_loss.ts
@@ -5,15 +5,15 @@
 
 /**
  * Reports to the quarantine that the connection to an upstream was lost before a request's first
- * output. Resolves once the quarantine can decide on the request.
+ * output, unless this host has lost its links to all upstreams. Resolves once the quarantine can decide on the request.
  */
 export async function recordUpstreamLoss(
-  context: Pick<ForwardingContext, "quarantine" | "upstreams">,
+  context: Pick<ForwardingContext, "quarantine" | "upstreams" | "reachability">,
   request: Pick<ForwardedRequest, "fingerprint">,
   upstream: Upstream,
 ): Promise<void> {
   const key = findLostUpstreamKey(context, upstream);
-  if (key === undefined) {
+  if (key === undefined || !await context.reachability.verifyLinks(upstream.record.id)) {
     return;
   }
   await context.quarantine.recordUpstreamCrash(key, {
--- a/packages/daemon/src/forwarding/record_upstream_loss_test.ts
+++ b/packages/daemon/src/forwarding/record_upstream_loss_test.ts
@@ -18,6 +18,11 @@
 });
 
 describe("recordUpstreamLoss", () => {
+  const reachability = {
+    isUnreachable: () => false,
+    isCutOff: () => false,
+    verifyLinks: () => Promise.resolve(true),
+  };
   const recordLosses = async (...records: readonly UpstreamRecord[]) => {
     const upstreams = createUpstreamState();
     const crashedStartKeys: string[] = [];
@@ -33,7 +38,11 @@
       applyUpstreamRecord(upstreams, record, 0);
       const upstream = upstreams.upstreams.get(record.id);
       if (upstream !== undefined) {
-        await recordUpstreamLoss({ quarantine, upstreams }, { fingerprint: "f" }, upstream);
+        await recordUpstreamLoss(
+          { quarantine, upstreams, reachability },
+          { fingerprint: "f" },
+          upstream,
+        );
       }
     }
     return crashedStartKeys;
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -16,6 +16,7 @@
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
+import { offerRequest } from "./offer_request.ts";
 import { isHeldBack } from "./is_held_back.ts";
 import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordReachability } from "./record_reachability.ts";
@@ -44,6 +45,7 @@
   const budget = getServiceBudget(context, request.service.name);
   const excluded = new Set<string>();
   let unexecutedAttempts = 0;
+  let isCounted = request.isCounted;
   const run: GenerationRun = {
     request,
     phase: "waiting",
@@ -80,7 +82,9 @@
     if (failure.isConnectionLost) {
       recordGenerationLoss(context, run, upstream, { hasHead: false, firstEventAtMs: undefined });
     }
-    observePerformance(context.loads, { upstreamId: upstream.record.id, hasFailed: true });
+    if (!context.reachability.isUnreachable(upstream.record.service)) {
+      observePerformance(context.loads, { upstreamId: upstream.record.id, hasFailed: true });
+    }
     context.loads.inFlightRequests.delete(request.requestId);
     context.reportLoadChange();
     const isUnexecuted = hasNotExecuted(failure.outcome);
@@ -104,7 +108,7 @@
         outcome: failure.outcome,
         reason: failure.reason,
       });
-      startOrQueue();
+      start();
       return;
     }
     if (decision === "relay") {
@@ -216,6 +220,34 @@
     return left.length > 0 &&
       left.every(({ record }) => context.limits.getLimit(record) !== undefined);
   };
+  /** Hands the run to another host if this one does not reach its service. */
+  const start = () => {
+    startElsewhere().catch(options.reportFault);
+  };
+  const startElsewhere = async () => {
+    const stream = createGenerationStream();
+    run.phase = "handedOver";
+    run.stream = stream;
+    const end = await offerRequest(context, request, {
+      isCounted,
+      receiveExchange: (exchange) => {
+        stream.exchange = exchange;
+      },
+    });
+    if (run.phase !== "handedOver") {
+      return;
+    }
+    if (end !== undefined) {
+      run.finish(end);
+      return;
+    }
+    run.stream = undefined;
+    if (!isCounted) {
+      budget.countRequest();
+      isCounted = true;
+    }
+    startOrQueue();
+  };
   const startOrQueue = () => {
     run.phase = "waiting";
     const nowMs = context.clock.readMonotonicMs();
@@ -272,8 +304,7 @@
     context.logger.writeEvent("callerLeft", { request: request.requestId });
     run.finish("callerLeft");
   });
-  budget.countRequest();
-  startOrQueue();
+  start();
   return run;
 }
 
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -6,6 +6,7 @@
 import type { PendingPermit } from "../upstream_limits/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
+import { offerRequest } from "./offer_request.ts";
 import { collectAnswer } from "./collect_answer.ts";
 import type { CollectedAnswer } from "./collect_answer.ts";
 import { choosePlainUpstream } from "./choose_plain_upstream.ts";
@@ -28,6 +29,8 @@
   const budget = getServiceBudget(context, request.service.name);
   const tried = new Set<string>();
   let exchange: UpstreamExchange | undefined;
+  let handover: UpstreamExchange | undefined;
+  let isCounted = request.isCounted;
   let pendingPermit: PendingPermit | undefined;
   let lastAnswer: CollectedAnswer | undefined;
   let executedAttempts = 0;
@@ -37,11 +40,24 @@
     if (route.kind === "repeatable") {
       exchange?.abort();
     }
+    handover?.abort();
     pendingPermit?.cancel();
     logger.writeEvent("callerLeft", { request: requestId });
   });
-  budget.countRequest();
   for (let attempt = 1;; attempt++) {
+    const handoverEnd = executedAttempts > 0 ? undefined : await offerRequest(context, request, {
+      isCounted,
+      receiveExchange: (opened) => {
+        handover = opened;
+      },
+    });
+    if (handoverEnd !== undefined) {
+      return handoverEnd;
+    }
+    if (!isCounted) {
+      budget.countRequest();
+      isCounted = true;
+    }
     const placement = await choosePlainUpstream(context, request, {
       tried,
       receivePending: (pending) => {
@@ -169,10 +185,12 @@
     loads.inFlightRequests.delete(request.requestId);
   }
   recordReachability(context, upstream.record.id, answer.outcome);
-  observePerformance(loads, {
-    upstreamId: upstream.record.id,
-    hasFailed: answer.outcome !== "answered",
-  });
+  if (!context.reachability.isUnreachable(upstream.record.service)) {
+    observePerformance(loads, {
+      upstreamId: upstream.record.id,
+      hasFailed: answer.outcome !== "answered",
+    });
+  }
   return answer;
 }
 
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -3,10 +3,12 @@
 import { chooseAddresses, createFleetHosts, HOST_LIMITS } from "../fleet_hosts/mod.ts";
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
+import type { Forwarder } from "../forwarding/mod.ts";
+import { acceptHandover, createHandover } from "../handover/mod.ts";
 import { createPromptPartQuarantine, createQuarantine } from "../quarantine/mod.ts";
 import { createReachability } from "../reachability/mod.ts";
 import { createUpstreamLimits } from "../upstream_limits/mod.ts";
-import { findUpstreamAt } from "../upstreams/mod.ts";
+import { findUpstreamAt, getPauseMs } from "../upstreams/mod.ts";
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
@@ -119,6 +121,9 @@
       limits.acceptReport(report, ageMs);
       versions.acceptVersion(report.settingsVersion);
       recordEra(report.settingsEra, report.host);
+      if (report.dataCentre === localHost.dataCentre) {
+        reachability.checkReported(report.unreachableServices);
+      }
       settings.applyHeld();
     },
     handleJoined: () => {
@@ -148,10 +153,18 @@
     clock,
     logger,
     metrics,
-    listUpstreamIds: (service) =>
+    random,
+    probeConnection: options.probeConnection,
+    listServices: () => [...readSettings()?.services.keys() ?? []],
+    listUpstreams: (service) =>
       [...upstreams.state.upstreams.values()]
         .filter(({ record, status }) => record.service === service && status === "ready")
-        .map(({ record }) => record.id),
+        .map(({ record }) => ({
+          id: record.id,
+          address: record.address,
+          canProbe: limits.getLimit(record) === undefined &&
+            getPauseMs(upstreams.state, record, clock.readMonotonicMs()) === 0,
+        })),
     countHostsReaching: (service) =>
       hosts.listLive().filter(({ unreachableServices }) => !unreachableServices.includes(service))
         .length,
@@ -187,6 +200,16 @@
       }
     },
   });
+  const handover = createHandover({
+    clock,
+    random,
+    openExchange: options.openExchange,
+    fleetKey: config.fleet.key,
+    localHost: config.host.name,
+    listLive: hosts.listLive,
+    isUnreachable: reachability.isUnreachable,
+    readSettingsVersion: () => readSettings()?.version ?? 0,
+  });
   const quarantine = createQuarantine({
     context: { clock, logger, random },
     membership: hosts,
@@ -208,6 +231,8 @@
       upstreams: upstreams.state,
       loads,
       limits,
+      reachability,
+      handover,
       quarantine,
       promptParts,
       budgetLimits: {
@@ -258,15 +283,26 @@
     maxTtlMs: config.directory.maxTtlSeconds * 1_000,
   });
 
+  const forward = (...received: Parameters<Forwarder["handleRequest"]>) => {
+    forwarder.handleRequest(...received).catch((error) => {
+      logger.writeEvent("requestFailed", { request: "unknown", reason: String(error) });
+      received[1].destroy();
+    });
+  };
   const listeners = createGatewayListeners({
     config,
     clock,
     answers,
-    handleRequest: (request, response) => {
-      forwarder.handleRequest(request, response).catch((error) => {
-        logger.writeEvent("requestFailed", { request: "unknown", reason: String(error) });
-        response.destroy();
-      });
+    handleRequest: (request, response) => forward(request, response),
+    handleHandover: (request, response) => {
+      const { requestId = "" } = dialect.decodeRequest(request.rawHeaders);
+      const accepted = acceptHandover(config.fleet.key, request, requestId);
+      if (accepted === undefined) {
+        metrics.increment("hosts.rejected");
+        response.writeHead(403, { Connection: "close" }).end();
+        return;
+      }
+      forward(request, response, accepted);
     },
     countOpen: forwarder.countOpen,
   });
@@ -280,6 +316,7 @@
       options.feed.refreshAll();
     }
     upstreams.tick();
+    reachability.tick();
     settings.applyHeld();
     const live = hosts.listLive();
     const rank = chooseReaders([localHost, ...live]).indexOf(localHost.host);
--- a/packages/daemon/src/gateway/create_gateway_listeners.ts
+++ b/packages/daemon/src/gateway/create_gateway_listeners.ts
@@ -14,11 +14,13 @@
   readonly clock: Clock;
   readonly answers: GatewayAnswers;
   readonly handleRequest: RequestListener;
+  /** Receives the requests that other hosts hand over. */
+  readonly handleHandover: RequestListener;
   /** Counts the requests whose response has not been sent completely. */
   readonly countOpen: () => number;
 }
 
-/** The HTTP listeners of a gateway: for callers, the readiness check, the directory and metrics. */
+/** The HTTP listeners of a gateway: for callers, other hosts, readiness, directory and metrics. */
 export interface GatewayListeners {
   open(): Promise<void>;
   /** Applies the published limits of callers' connections. */
@@ -62,6 +64,11 @@
       }
       listeners.push(
         callers,
+        await openHttpListener(`${host.address}:${listen.peerPort}`, {
+          maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
+          requestTimeout: 0, // reading a slow body is bounded by the request's own timeout
+          noDelay: true,
+        }, options.handleHandover),
         await openHttpListener(
           listen.readiness,
           {},
--- a/packages/daemon/src/gateway/gateway_config_schema.ts
+++ b/packages/daemon/src/gateway/gateway_config_schema.ts
@@ -38,7 +38,7 @@
     readiness: addressSchema,
     /** Serves the addresses that callers connect to. */
     directory: addressSchema,
-    /** UDP port for reports between hosts. */
+    /** Port between hosts: UDP for reports, TCP for requests that are handed over. */
     peerPort: portSchema,
     metricsPort: portSchema,
   }),
--- a/packages/daemon/src/gateway/gateway_options.ts
+++ b/packages/daemon/src/gateway/gateway_options.ts
@@ -5,6 +5,7 @@
 import type { DeploymentDirectory } from "../adapters/deployment_directory.ts";
 import type { DeploymentFeed } from "../adapters/deployment_feed.ts";
 import type { KvCacheClient } from "../adapters/kv_cache_client.ts";
+import type { ProbeConnection } from "../adapters/probe_connection.ts";
 import type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
 import type { GatewayConfig } from "./gateway_config_schema.ts";
 
@@ -21,5 +22,7 @@
   /** Creates the client that copies KV caches, over the given exchange. */
   readonly createKvCache: (openExchange: OpenUpstreamExchange) => KvCacheClient;
   readonly openExchange: OpenUpstreamExchange;
+  /** Probes the connection to an upstream. */
+  readonly probeConnection: ProbeConnection;
   readonly openSocket: OpenDatagramSocket;
 }
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -22,6 +22,8 @@
 } from "../adapters/kv_cache_client.ts";
 export { openHttpExchange } from "../adapters/open_http_exchange.ts";
 export { openUdpSocket } from "../adapters/open_udp_socket.ts";
+export type { ProbeConnection } from "../adapters/probe_connection.ts";
+export { probeTcpConnection } from "../adapters/probe_tcp_connection.ts";
 export type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
 export { removeHopByHopHeaders } from "../common/remove_hop_by_hop_headers.ts";
 export type {
--- a/packages/daemon/src/reachability/mod.ts
+++ b/packages/daemon/src/reachability/mod.ts
@@ -4,4 +4,5 @@
   Reachability,
   ReachabilityAttempt,
   ReachabilityOptions,
+  ReachableUpstream,
 } from "./create_reachability.ts";
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -185,6 +185,24 @@
     title: "Upstreams of an unreachable service respond to this host again",
     action: "none",
   },
+  requestHandedOver: {
+    number: 8048,
+    level: "info",
+    title: "Request handed to a host that reaches its service, as this one does not",
+    action: "Find the same request in the log of the host named in the event",
+  },
+  handoverEnded: {
+    number: 8049,
+    level: "info",
+    title: "Request that was handed to another host ended there, or that host declined it",
+    action: "none; the log of the host named in the event has the cause",
+  },
+  handoverAccepted: {
+    number: 8023,
+    level: "info",
+    title: "Request received from another host, which does not reach its service",
+    action: "none",
+  },
   hostJoined: {
     number: 8050,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -130,6 +130,12 @@
     unit: "requests",
     meaning: "Retries of forwarded requests, by tag `outcome` of the previous attempt",
   },
+  "forwarding.handovers": {
+    type: "counter",
+    unit: "requests",
+    meaning:
+      "Requests offered to another host, by tag `end`: handedOver, declined, timeout, unknown, callerLeft, callerSlow",
+  },
   "forwarding.moves": {
     type: "counter",
     unit: "generations",
@@ -150,6 +156,11 @@
     unit: "services",
     meaning: "Services of which this host reaches no upstream",
   },
+  "upstreams.probes": {
+    type: "counter",
+    unit: "connections",
+    meaning: "Connections opened only to see whether an upstream is reached, by tag `end`",
+  },
   "upstreams.limited": {
     type: "gauge",
     unit: "upstreams",
@@ -168,7 +179,7 @@
   "hosts.rejected": {
     type: "counter",
     unit: "datagrams",
-    meaning: "Received datagrams that are not a report signed with the fleet key",
+    meaning: "Received datagrams and handed-over requests that the fleet key has not signed",
   },
   "hosts.live": {
     type: "gauge",
