Record what is sent to an upstream during its pause, and responses that are not read

The new event and counter tell the hypotheses apart: a refusal that was not read, one that was counted for another upstream, and a wait after which the pause is not looked at again.

--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -179,7 +179,15 @@
       if (limits.getLimit(record) !== undefined) {
         metrics.increment("upstreams.limitedRequests");
       }
+      const pauseMs = getPauseMs(upstreams.state, record, clock.readMonotonicMs());
+      if (pauseMs > 0) {
+        logger.writeEvent("requestDuringPause", {
+          upstream: record.id,
+          pauseMs: Math.round(pauseMs),
+        });
+      }
     },
+    recordUnread: () => metrics.increment("upstreams.unreadResponses"),
     recordReach: ({ record }, hasResponded, startedAtMs) => {
       const attempt = { upstreamId: record.id, service: record.service, startedAtMs };
       hasResponded ? reachability.recordContact(attempt) : reachability.recordFailure(attempt);
--- a/packages/daemon/src/gateway/create_observed_exchange.ts
+++ b/packages/daemon/src/gateway/create_observed_exchange.ts
@@ -13,6 +13,8 @@
   readonly recordRequest: (upstream: Upstream) => void;
   /** Receives the signals of a response and the monotonic time at which its request was sent. */
   readonly recordSignals: (upstream: Upstream, signals: UpstreamSignals, sentAtMs: number) => void;
+  /** Called when a request is given up before the head of its response. */
+  readonly recordUnread: () => void;
   /** Called with whether the upstream has responded, and when its request was sent. */
   readonly recordReach: (upstream: Upstream, hasResponded: boolean, sentAtMs: number) => void;
 }
@@ -27,10 +29,11 @@
     const upstream = options.findUpstream(request.address);
     const sentAtMs = options.readMonotonicMs();
     let hasHead = false;
+    let hasEnded = false;
     if (upstream !== undefined) {
       options.recordRequest(upstream);
     }
-    return options.openExchange(request, {
+    const exchange = options.openExchange(request, {
       receiveHead: (status, statusText, rawHeaders) => {
         const signals = options.dialect.decodeSignals(status, rawHeaders);
         hasHead = true;
@@ -46,8 +49,18 @@
         if (upstream !== undefined && !hasHead) {
           options.recordReach(upstream, false, sentAtMs);
         }
+        hasEnded = true;
         handler.fail(isSent, reason);
       },
     });
+    return {
+      abort: () => {
+        if (!hasHead && !hasEnded) {
+          options.recordUnread();
+        }
+        hasEnded = true;
+        exchange.abort();
+      },
+    };
   };
 }
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -215,6 +215,12 @@
     title: "Host of the fleet no longer counts as live: its reports stopped",
     action: "Check the host and its network links",
   },
+  requestDuringPause: {
+    number: 8053,
+    level: "warn",
+    title: "Request or call sent to an upstream that has asked this host for a pause",
+    action: "Report it with the lines of that upstream: nothing should be sent meanwhile",
+  },
   readerChanged: {
     number: 8052,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -156,6 +156,11 @@
     unit: "services",
     meaning: "Services of which this host reaches no upstream",
   },
+  "upstreams.unreadResponses": {
+    type: "counter",
+    unit: "requests",
+    meaning: "Requests to upstreams that this host gave up before the head of their response",
+  },
   "upstreams.probes": {
     type: "counter",
     unit: "connections",
