Attribute a response to the upstream that its request was sent to

What an upstream says of itself (a pause, a limit, that it leaves) was recorded for the upstream found at the address, the one whose status had changed last. The record of a former process at that address may end seconds after the next one has joined; from then on its successor's words were recorded for it, and the pause of the running one was not kept.

--- a/packages/daemon/src/adapters/upstream_exchange.ts
+++ b/packages/daemon/src/adapters/upstream_exchange.ts
@@ -2,6 +2,8 @@
 export interface UpstreamExchangeRequest {
   /** `ip:port`. */
   readonly address: string;
+  /** Id of the upstream that the request is for; several may have had the address. */
+  readonly upstreamId?: string;
   readonly method: string;
   /** Path and query, unchanged from the caller's request. */
   readonly target: string;
--- a/packages/daemon/src/forwarding/open_generation_exchange.ts
+++ b/packages/daemon/src/forwarding/open_generation_exchange.ts
@@ -49,6 +49,7 @@
     handler.refuse({ outcome, reason, isConnectionLost, ...answer, body: Buffer.concat(chunks) });
   const exchange = context.openExchange({
     address: upstream.record.address,
+    upstreamId: upstream.record.id,
     method: request.method,
     target: request.target,
     headers: dialect.encodeRequest(request.rawHeaders, {
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -170,6 +170,7 @@
     receiveExchange: attempt.receiveExchange,
     request: {
       address: upstream.record.address,
+      upstreamId: upstream.record.id,
       method: request.method,
       target: request.target,
       headers: context.dialect.encodeRequest(request.rawHeaders, {
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -173,7 +173,7 @@
   const openExchange = createObservedExchange({
     openExchange: options.openExchange,
     dialect,
-    findUpstream: (address) => findUpstreamAt(upstreams.state, address),
+    findUpstream: ({ address, upstreamId }) => findUpstreamAt(upstreams.state, address, upstreamId),
     readMonotonicMs: clock.readMonotonicMs,
     recordRequest: ({ record }) => {
       if (limits.getLimit(record) !== undefined) {
--- a/packages/daemon/src/gateway/create_observed_exchange.ts
+++ b/packages/daemon/src/gateway/create_observed_exchange.ts
@@ -1,13 +1,18 @@
 import type { DeploymentDialect, UpstreamSignals } from "../adapters/deployment_dialect.ts";
-import type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
+import type {
+  OpenUpstreamExchange,
+  UpstreamExchangeRequest,
+} from "../adapters/upstream_exchange.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 
 /** Options of {@link createObservedExchange}. */
 export interface ObservedExchangeOptions {
   readonly openExchange: OpenUpstreamExchange;
   readonly dialect: Pick<DeploymentDialect, "decodeSignals">;
-  /** Finds the upstream that is known at an address. */
-  readonly findUpstream: (address: string) => Upstream | undefined;
+  /** Finds the upstream that a request is sent to. */
+  readonly findUpstream: (
+    request: Pick<UpstreamExchangeRequest, "address" | "upstreamId">,
+  ) => Upstream | undefined;
   readonly readMonotonicMs: () => number;
   /** Called when a request is sent to a known upstream. */
   readonly recordRequest: (upstream: Upstream) => void;
@@ -26,7 +31,7 @@
  */
 export function createObservedExchange(options: ObservedExchangeOptions): OpenUpstreamExchange {
   return (request, handler) => {
-    const upstream = options.findUpstream(request.address);
+    const upstream = options.findUpstream(request);
     const sentAtMs = options.readMonotonicMs();
     let hasHead = false;
     let hasEnded = false;
