Look at an upstream's pause again when its permit has come

Generations that resume, and calls to copy, looked at the pause of a limited upstream and then waited up to 6 s for its permit; a pause asked for meanwhile was not seen.

The permit is refused if the upstream pauses by then.

--- a/packages/daemon/src/forwarding/claim_limited_upstream.ts
+++ b/packages/daemon/src/forwarding/claim_limited_upstream.ts
@@ -21,7 +21,7 @@
  * one that is expected to have the first, if it may wait.
  */
 export async function claimLimitedUpstream(
-  context: Pick<ForwardingContext, "limits">,
+  context: Pick<ForwardingContext, "limits" | "upstreams" | "clock">,
   { candidates, hasEnded, waitMs, patientMs, ...options }: LimitedUpstreamOptions,
 ): Promise<LimitedUpstreamResult> {
   const canWait = Math.max(waitMs, patientMs) > 0;
--- a/packages/daemon/src/forwarding/claim_permit.ts
+++ b/packages/daemon/src/forwarding/claim_permit.ts
@@ -1,4 +1,5 @@
 import type { PendingPermit, PermitResult } from "../upstream_limits/mod.ts";
+import { getPauseMs } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 
@@ -17,17 +18,25 @@
 
 /**
  * Claims the permit that anything sent to a limited upstream needs; resolves at once if the
- * upstream names no limit.
+ * upstream names no limit. Refused if the upstream asks for a pause by the time of the permit.
  */
-export function claimPermit(
-  context: Pick<ForwardingContext, "limits">,
+export async function claimPermit(
+  context: Pick<ForwardingContext, "limits" | "upstreams" | "clock">,
   { upstream, receivePending, ...request }: PermitOptions,
 ): Promise<PermitResult> {
   if (context.limits.getLimit(upstream.record) === undefined) {
-    return Promise.resolve({ type: "granted" });
+    return { type: "granted" };
   }
-  return new Promise((resolve) => {
+  const result = await new Promise<PermitResult>((resolve) => {
     const pending = context.limits.requestPermit(upstream.record, request, resolve);
     receivePending?.(pending);
   });
+  const pauseMs = getPauseMs(
+    context.upstreams,
+    upstream.record,
+    context.clock.readMonotonicMs(),
+  );
+  return result.type === "granted" && pauseMs > 0
+    ? { type: "refused", freeInMs: pauseMs, retryAfterMs: pauseMs }
+    : result;
 }
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -64,9 +64,15 @@
       if (run.phase !== "switching") {
         return;
       }
-      permit.type === "granted"
-        ? resumeFrom(copy)
-        : endInterrupted(context, run, `${reason}; the backup copy's upstream is at its limit`);
+      const isPausing =
+        getPauseMs(context.upstreams, copy.upstream.record, context.clock.readMonotonicMs()) > 0;
+      if (permit.type === "granted") {
+        resumeFrom(copy);
+      } else if (isPausing) {
+        tryRestore();
+      } else {
+        endInterrupted(context, run, `${reason}; the backup copy's upstream is at its limit`);
+      }
     }).catch((error) => endInterrupted(context, run, `${reason}; ${error}`));
   };
   const resumeFrom = (copy: BackupCopy) => {
