Read the refusal of a request that was given up a moment before

A host closed the connection at once when an attempt timed out or its caller left. An upstream that refuses a request at its deadline answers a round trip later, so its Retry-After was never read, and the host sent on; 80 requests in a pause of 3 s in the tests.

A request that was sent and has no response stays open for 100 ms after it is given up; the head is read for what the upstream says of itself, and the connection closed then.

--- a/packages/daemon/src/adapters/open_http_exchange.ts
+++ b/packages/daemon/src/adapters/open_http_exchange.ts
@@ -97,5 +97,6 @@
   }
   return {
     abort: () => finish(() => {}),
+    hasSent: () => isSent,
   };
 };
--- a/packages/daemon/src/adapters/upstream_exchange.ts
+++ b/packages/daemon/src/adapters/upstream_exchange.ts
@@ -28,6 +28,8 @@
 export interface UpstreamExchange {
   /** Closes the connection; the handler is not called again. */
   abort(): void;
+  /** Whether any byte of the request may have been sent. */
+  hasSent(): boolean;
 }
 
 /** Opens an exchange; never throws. */
--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -11,7 +11,7 @@
 
 /** The response stream of a generation from one upstream. */
 export interface GenerationStream {
-  exchange: UpstreamExchange | undefined;
+  exchange: Pick<UpstreamExchange, "abort"> | undefined;
   /** Events buffered while another upstream is requested to resume; sent if it does not resume. */
   bufferedEvents: Uint8Array[] | undefined;
   /** How the stream closed; undefined while it is open. */
--- a/packages/daemon/src/forwarding/offer_request.ts
+++ b/packages/daemon/src/forwarding/offer_request.ts
@@ -9,7 +9,7 @@
   /** Whether this host has counted the request in the retry budget. */
   readonly isCounted: boolean;
   /** Receives each exchange, so that it can be aborted when the caller disconnects. */
-  readonly receiveExchange: (exchange: UpstreamExchange) => void;
+  readonly receiveExchange: (exchange: Pick<UpstreamExchange, "abort">) => void;
 }
 
 /** How the request ended; undefined if no other host has accepted it. */
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -29,7 +29,7 @@
   const budget = getServiceBudget(context, request.service.name);
   const tried = new Set<string>();
   let exchange: UpstreamExchange | undefined;
-  let handover: UpstreamExchange | undefined;
+  let handover: Pick<UpstreamExchange, "abort"> | undefined;
   let isCounted = request.isCounted;
   let pendingPermit: PendingPermit | undefined;
   let lastAnswer: CollectedAnswer | undefined;
--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -75,6 +75,11 @@
     /** Keeps a notice small enough for a report. */
     maxSuspects: 12,
   },
+  /**
+   * Time for which a request stays open after it was given up: an upstream that refuses it at its
+   * deadline responds a round trip later.
+   */
+  lateResponseMs: 100,
   /** Interval between periodic checks. */
   tickMs: 100,
   /**
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -174,7 +174,7 @@
     openExchange: options.openExchange,
     dialect,
     findUpstream: ({ address, upstreamId }) => findUpstreamAt(upstreams.state, address, upstreamId),
-    readMonotonicMs: clock.readMonotonicMs,
+    clock,
     recordRequest: ({ record }) => {
       if (limits.getLimit(record) !== undefined) {
         metrics.increment("upstreams.limitedRequests");
--- a/packages/daemon/src/gateway/create_observed_exchange.ts
+++ b/packages/daemon/src/gateway/create_observed_exchange.ts
@@ -1,9 +1,11 @@
+import type { Clock, Timer } from "@crocussail/protocol";
 import type { DeploymentDialect, UpstreamSignals } from "../adapters/deployment_dialect.ts";
 import type {
   OpenUpstreamExchange,
   UpstreamExchangeRequest,
 } from "../adapters/upstream_exchange.ts";
 import type { Upstream } from "../upstreams/mod.ts";
+import { GATEWAY_LIMITS } from "./constants.ts";
 
 /** Options of {@link createObservedExchange}. */
 export interface ObservedExchangeOptions {
@@ -13,7 +15,7 @@
   readonly findUpstream: (
     request: Pick<UpstreamExchangeRequest, "address" | "upstreamId">,
   ) => Upstream | undefined;
-  readonly readMonotonicMs: () => number;
+  readonly clock: Pick<Clock, "readMonotonicMs" | "startTimer">;
   /** Called when a request is sent to a known upstream. */
   readonly recordRequest: (upstream: Upstream) => void;
   /** Receives the signals of a response and the monotonic time at which its request was sent. */
@@ -26,15 +28,17 @@
 
 /**
  * Wraps an exchange so that each response of an upstream, to whatever request, is read for what the
- * upstream says of itself. The upstream is the one known when the request is sent: another one may
- * have its address when the response arrives.
+ * upstream says of itself. A request that is given up after it was sent stays open for a moment,
+ * because an upstream that refuses it at its deadline responds a little later. The upstream is the
+ * one known when the request is sent: another one may have its address when the response arrives.
  */
 export function createObservedExchange(options: ObservedExchangeOptions): OpenUpstreamExchange {
   return (request, handler) => {
     const upstream = options.findUpstream(request);
-    const sentAtMs = options.readMonotonicMs();
+    const sentAtMs = options.clock.readMonotonicMs();
     let hasHead = false;
-    let hasEnded = false;
+    let isGivenUp = false;
+    let lateTimer: Timer | undefined;
     if (upstream !== undefined) {
       options.recordRequest(upstream);
     }
@@ -46,25 +50,42 @@
           options.recordReach(upstream, true, sentAtMs);
           options.recordSignals(upstream, signals, sentAtMs);
         }
+        if (isGivenUp) {
+          lateTimer?.cancel();
+          exchange.abort();
+          return;
+        }
         handler.receiveHead(status, statusText, signals.headers);
       },
       receiveData: (chunk) => handler.receiveData(chunk),
       end: () => handler.end(),
       fail: (isSent, reason) => {
+        if (isGivenUp) {
+          lateTimer?.cancel();
+          options.recordUnread();
+          return;
+        }
         if (upstream !== undefined && !hasHead) {
           options.recordReach(upstream, false, sentAtMs);
         }
-        hasEnded = true;
         handler.fail(isSent, reason);
       },
     });
     return {
+      hasSent: () => exchange.hasSent(),
       abort: () => {
-        if (!hasHead && !hasEnded) {
-          options.recordUnread();
+        if (hasHead || !exchange.hasSent()) {
+          exchange.abort();
+          return;
+        }
+        if (isGivenUp) {
+          return;
         }
-        hasEnded = true;
-        exchange.abort();
+        isGivenUp = true;
+        lateTimer = options.clock.startTimer(GATEWAY_LIMITS.lateResponseMs, () => {
+          options.recordUnread();
+          exchange.abort();
+        });
       },
     };
   };
