Let one host send all requests to a brittle upstream

Cause: what an upstream has room for is one number for the whole fleet; hosts learn of each other's short requests with the regular reports only. Now the header is read and shared in reports, one live host for each brittle upstream, by rendezvous hash, sends all requests to it, at most as many as it has slots, and the other hosts hand theirs to that host. Requests wait there in order, or are refused at once with the time until there is room.

--- a/packages/daemon/src/adapters/deployment_dialect.ts
+++ b/packages/daemon/src/adapters/deployment_dialect.ts
@@ -47,6 +47,11 @@
    * `unreadable` if it names one that is no number.
    */
   readonly limitPerSecond: number | "unreadable" | undefined;
+  /**
+   * Refusals a second above which it falls over, of the requests of all hosts together; as the limit
+   * where it names none or no number.
+   */
+  readonly refusalsPerSecond: number | "unreadable" | undefined;
   /** Headers of the response for the caller, names and values alternating. */
   readonly headers: readonly string[];
 }
--- a/packages/daemon/src/fleet_hosts/host_report_fields.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_fields.ts
@@ -22,6 +22,7 @@
   "leaving",
   "joined",
   "limits",
+  "brittle",
   "unreachableServices",
   "notices",
   "peers",
--- a/packages/daemon/src/fleet_hosts/host_report_schema.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_schema.ts
@@ -75,6 +75,17 @@
     z.number().min(0),
     z.number().min(0),
   ])).max(64),
+  /**
+   * Upstreams that fall over when they refuse too many requests: id, start, the refusals a second or
+   * null when that has ended, and times as in `limits`.
+   */
+  brittle: z.array(z.tuple([
+    z.string(),
+    z.number(),
+    z.number().min(0).nullable(),
+    z.number().min(0),
+    z.number().min(0),
+  ])).max(64),
   /** Names of the services whose upstreams the host does not reach. */
   unreachableServices: z.array(z.string().max(200)).max(HOST_LIMITS.maxReportedServices),
   /** Notices for all hosts: topic, key, remaining lifetime in milliseconds, unvalidated payload. */
--- a/packages/daemon/src/fleet_hosts/host_state_test.ts
+++ b/packages/daemon/src/fleet_hosts/host_state_test.ts
@@ -36,6 +36,7 @@
   leaving: [["u2", 12, false]],
   joined: [["u3", "desk", "10.0.0.7:80", "a", 4, 500, 13]],
   limits: [["u4", 12, 2.4, 90, 30], ["u5", 12, null, 90, 30]],
+  brittle: [["u6", 12, 4, 90, 30]],
   unreachableServices: ["desk"],
   notices: [["t", "k", 500, { type: "seen" }]],
   peers: ["10.0.0.2:7200"],
--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -132,6 +132,7 @@
           upstreamsAgeMs: null,
           joined: [],
           limits: options.listLimits?.(index) ?? [],
+          brittle: [],
           unreachableServices: [],
         }),
         applyReport: (received) => {
--- a/packages/daemon/src/forwarding/choose_plain_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_plain_upstream.ts
@@ -1,7 +1,9 @@
 import { chooseServiceUpstream, listCandidates } from "../balancing/mod.ts";
+import type { UpstreamCandidate } from "../balancing/mod.ts";
 import type { PendingPermit } from "../upstream_limits/mod.ts";
 import { isSameIncarnation, listUsableUpstreams } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
+import { claimBrittleRoom } from "./claim_brittle_room.ts";
 import { claimLimitedUpstream } from "./claim_limited_upstream.ts";
 import { computeMaxWait } from "./compute_max_wait.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
@@ -12,12 +14,18 @@
   /** Ids of the upstreams that have been tried. */
   readonly tried: ReadonlySet<string>;
   readonly receivePending: (pending: PendingPermit) => void;
+  /** Whether the request may be handed to another host. */
+  readonly canHandOver: boolean;
 }
 
 /** The chosen upstream, or why there is none. */
 export type PlainChoice =
   | { readonly type: "placed"; readonly upstream: Upstream }
   | { readonly type: "none" }
+  /** Only the hosts that own the brittle upstreams may send it. */
+  | { readonly type: "elsewhere"; readonly hosts: ReadonlySet<string> }
+  /** The brittle upstreams have no room in its time; the caller may return after that time. */
+  | { readonly type: "full"; readonly retryAfterMs: number }
   /** All that are left have reached their limits; the caller may return after that time. */
   | { readonly type: "limited"; readonly retryAfterMs: number };
 
@@ -35,13 +43,28 @@
   options: PlainChoiceOptions,
 ): Promise<PlainChoice> {
   const { clock, limits, loads, random } = context;
+  const isBrittle = ({ upstream }: UpstreamCandidate) => context.brittle.isBrittle(upstream.record);
+  let isTurn = false;
   for (let lostPermits = 0; lostPermits < MAX_LOST_PERMITS; lostPermits++) {
     const nowMs = clock.readMonotonicMs();
     const usable = listUsableUpstreams(context.upstreams, request.service.name, nowMs);
-    const candidates = listCandidates(loads, usable, nowMs)
+    const all = listCandidates(loads, usable, nowMs)
       .filter(({ upstream, load }) =>
         !options.tried.has(upstream.record.id) && load.inFlight < request.service.maxConnections
       );
+    const isFirst = isTurn || context.brittle.countWaiting(request.service.name) === 0;
+    const candidates = all.filter((candidate) =>
+      !isBrittle(candidate) || (isFirst && context.brittle.hasRoom(candidate.upstream.record))
+    );
+    if (candidates.length === 0 && all.length > 0) {
+      const brittle = await claimBrittleRoom(context, request, all, options.canHandOver);
+      if (brittle.type !== "turn") {
+        return brittle;
+      }
+      isTurn = true;
+      lostPermits--;
+      continue;
+    }
     const isLimited = (upstream: Upstream) => limits.getLimit(upstream.record) !== undefined;
     const unlimited = candidates.filter(({ upstream }) => !isLimited(upstream));
     const limited = candidates.filter(({ upstream }) => isLimited(upstream));
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -2,6 +2,7 @@
 import type { DeploymentDialect } from "../adapters/deployment_dialect.ts";
 import type { KvCacheClient } from "../adapters/kv_cache_client.ts";
 import type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
+import type { BrittleUpstreams } from "../brittle_upstreams/mod.ts";
 import type { LoadState } from "../balancing/mod.ts";
 import type { Handover } from "../handover/mod.ts";
 import type { PromptPartQuarantine, Quarantine } from "../quarantine/mod.ts";
@@ -25,6 +26,17 @@
     UpstreamLimits,
     "getLimit" | "getFreeInMs" | "isUnconfirmed" | "requestPermit"
   >;
+  readonly brittle: Pick<
+    BrittleUpstreams,
+    | "isBrittle"
+    | "findOwner"
+    | "hasRoom"
+    | "waitForRoom"
+    | "countWaiting"
+    | "estimateWaitMs"
+    | "recordEnd"
+  >;
+  readonly localHost: string;
   readonly reachability: Pick<Reachability, "isUnreachable" | "isCutOff" | "verifyLinks">;
   readonly handover: Handover;
   readonly quarantine: Pick<
--- a/packages/daemon/src/forwarding/offer_request.ts
+++ b/packages/daemon/src/forwarding/offer_request.ts
@@ -8,6 +8,8 @@
 export interface RequestHandoverOptions {
   /** Whether this host has counted the request in the retry budget. */
   readonly isCounted: boolean;
+  /** Names of the hosts to choose from; any that reach the service if this one does not. */
+  readonly among?: ReadonlySet<string>;
   /** Receives each exchange, so that it can be aborted when the caller disconnects. */
   readonly receiveExchange: (exchange: Pick<UpstreamExchange, "abort">) => void;
 }
@@ -22,6 +24,8 @@
 
 /** Refusals after which another host may still serve the request. */
 const HOST_REFUSALS: ReadonlySet<string> = new Set(["noUpstreamLeft", "settingsUnknown"]);
+/** The same if the host owns only some of the upstreams; other hosts own the rest. */
+const OWNER_REFUSALS: ReadonlySet<string> = new Set([...HOST_REFUSALS, "noRoomInTime"]);
 
 /**
  * Hands a request of which this host has sent nothing to a host that reaches the service, and sends
@@ -40,7 +44,7 @@
   const tried = new Set<string>();
   let answerRefusal: (() => void) | undefined;
   while (tried.size < HANDOVER_LIMITS.maxHosts && !request.reply.hasEnded()) {
-    const host = context.handover.chooseHost(request.service.name, tried);
+    const host = context.handover.chooseHost(request.service.name, tried, options.among);
     if (host === undefined) {
       break;
     }
@@ -141,7 +145,8 @@
         }
       },
       end: () => {
-        if (refusal !== undefined && HOST_REFUSALS.has(refusal)) {
+        const isOwner = options.among !== undefined;
+        if (refusal !== undefined && (isOwner ? OWNER_REFUSALS : HOST_REFUSALS).has(refusal)) {
           settle({ type: "declined", reason: refusal, answer: sendAnswer });
           return;
         }
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -19,6 +19,9 @@
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 
+const BRITTLE_FULL =
+  "brittle upstreams, which fall over when they refuse, have no room in its time";
+
 /** Forwards a request of a plain service until its final response; returns how it ended. */
 export async function runPlainRequest(
   context: ForwardingContext,
@@ -60,6 +63,7 @@
     }
     const placement = await choosePlainUpstream(context, request, {
       tried,
+      canHandOver: request.handedOverBy === undefined && executedAttempts === 0,
       receivePending: (pending) => {
         pendingPermit = pending;
       },
@@ -67,6 +71,16 @@
     if (reply.hasEnded()) {
       return "callerLeft";
     }
+    if (placement.type === "elsewhere") {
+      const end = await offerRequest(context, request, {
+        isCounted,
+        among: placement.hosts,
+        receiveExchange: (opened) => {
+          handover = opened;
+        },
+      });
+      return end ?? refuseUnplaced(context, request, { type: "none" }, true);
+    }
     if (placement.type !== "placed") {
       return lastAnswer?.outcome === "failed"
         ? answerCaller(context, request, "relay", lastAnswer)
@@ -186,6 +200,11 @@
     loads.inFlightRequests.delete(request.requestId);
   }
   recordReachability(context, upstream.record.id, answer.outcome);
+  context.brittle.recordEnd(
+    upstream.record,
+    answer.outcome !== "answered" && answer.outcome !== "failed",
+    clock.readMonotonicMs() - startMs,
+  );
   if (!context.reachability.isUnreachable(upstream.record.service)) {
     observePerformance(loads, {
       upstreamId: upstream.record.id,
@@ -198,7 +217,7 @@
 function refuseUnplaced(
   context: ForwardingContext,
   request: ForwardedRequest,
-  placement: Exclude<PlainChoice, { type: "placed" }>,
+  placement: Exclude<PlainChoice, { type: "placed" | "elsewhere" }>,
   isUnexecuted: boolean,
 ): string {
   if (!isUnexecuted) {
@@ -209,6 +228,10 @@
     request.reply.refuse("limitReached", REFUSAL_DETAILS.limitReached, placement.retryAfterMs);
     return "limited";
   }
+  if (placement.type === "full") {
+    request.reply.refuse("noRoomInTime", BRITTLE_FULL, placement.retryAfterMs);
+    return "refused";
+  }
   const detail = `service ${request.service.name} has no upstream left to try`;
   const retryAfterMs = computeServiceRetryAfter(context, request.service.name);
   request.reply.refuse("noUpstreamLeft", detail, retryAfterMs);
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -1,5 +1,6 @@
 import type { Timer } from "@crocussail/protocol";
-import { createLoadState } from "../balancing/mod.ts";
+import { computeLocalLoads, createLoadState } from "../balancing/mod.ts";
+import { createBrittleUpstreams } from "../brittle_upstreams/mod.ts";
 import { chooseAddresses, createFleetHosts, HOST_LIMITS } from "../fleet_hosts/mod.ts";
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
@@ -101,6 +102,7 @@
     ...describeLoads(loads, hosts.listLive().length + 1),
     ...describeUpstreams(upstreams, reading),
     limits: limits.listReported(),
+    brittle: brittle.listReported(),
     unreachableServices: reachability.listUnreachable().slice(0, HOST_LIMITS.maxReportedServices),
   });
   const hosts = createFleetHosts({
@@ -119,6 +121,7 @@
       loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
       applyReportedUpstreams(upstreams, reading, { report, ageMs }, clock.readMonotonicMs());
       limits.acceptReport(report, ageMs);
+      brittle.acceptReport(report, ageMs);
       versions.acceptVersion(report.settingsVersion);
       recordEra(report.settingsEra, report.host);
       if (report.dataCentre === localHost.dataCentre) {
@@ -206,8 +209,28 @@
           receivedAtMs: clock.readMonotonicMs(),
         });
       }
+      if (signals.refusalsPerSecond !== "unreadable") {
+        brittle.recordObservation(upstream.record, {
+          perSecond: signals.refusalsPerSecond,
+          sentAtMs,
+          receivedAtMs: clock.readMonotonicMs(),
+        });
+      }
     },
   });
+  const brittle = createBrittleUpstreams({
+    clock,
+    logger,
+    metrics,
+    localHost: config.host.name,
+    hosts,
+    canOwn: (service) => !isLeaving && !reachability.isUnreachable(service),
+    listUpstreams: (service) =>
+      [...upstreams.state.upstreams.values()]
+        .filter(({ record, status }) => record.service === service && status === "ready")
+        .map(({ record }) => record),
+    countInFlight: (id) => computeLocalLoads(loads).get(id)?.inFlight ?? 0,
+  });
   const handover = createHandover({
     clock,
     random,
@@ -239,6 +262,8 @@
       upstreams: upstreams.state,
       loads,
       limits,
+      localHost: config.host.name,
+      brittle,
       reachability,
       handover,
       quarantine,
@@ -343,6 +368,7 @@
       }
     }
     limits.tick((id) => upstreams.state.upstreams.has(id));
+    brittle.tick((id) => upstreams.state.upstreams.has(id));
     timer = clock.startTimer(GATEWAY_LIMITS.tickMs, tick);
   };
 
--- a/packages/daemon/src/handover/create_handover.ts
+++ b/packages/daemon/src/handover/create_handover.ts
@@ -50,8 +50,15 @@
 
 /** Handing requests to hosts that reach upstreams which this host does not reach. */
 export interface Handover {
-  /** Chooses a host for a request; undefined if this host reaches the service, or none does. */
-  chooseHost(service: string, tried: ReadonlySet<string>): HandoverHost | undefined;
+  /**
+   * Chooses a host for a request; undefined if this host reaches the service, or none does. With
+   * `among`, one of these hosts is chosen whether or not this host reaches the service.
+   */
+  chooseHost(
+    service: string,
+    tried: ReadonlySet<string>,
+    among?: ReadonlySet<string>,
+  ): HandoverHost | undefined;
   /** Sends a request to a host on a connection of its own. */
   open(host: HandoverHost, request: HandoverRequest, handler: HandoverHandler): UpstreamExchange;
 }
@@ -61,8 +68,8 @@
   const { clock, fleetKey } = options;
   const unreachableUntilMs = new Map<string, number>();
   return {
-    chooseHost: (service, tried) => {
-      if (!options.isUnreachable(service)) {
+    chooseHost: (service, tried, among) => {
+      if (among === undefined && !options.isUnreachable(service)) {
         return undefined;
       }
       const nowMs = clock.readMonotonicMs();
@@ -71,7 +78,8 @@
           unreachableUntilMs.delete(host);
         }
       }
-      return chooseHandoverHost(options.listLive(), {
+      const live = options.listLive();
+      return chooseHandoverHost(live.filter(({ host }) => among?.has(host) ?? true), {
         service,
         settingsVersion: options.readSettingsVersion(),
         excluded: new Set([...tried, ...unreachableUntilMs.keys()]),
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -221,6 +221,12 @@
     title: "Request or call sent to an upstream that has asked this host for a pause",
     action: "Report it with the lines of that upstream: nothing should be sent meanwhile",
   },
+  upstreamBrittle: {
+    number: 8054,
+    level: "info",
+    title: "Upstream says, or no longer says, that it falls over when it refuses too many requests",
+    action: "If it lasts, the service needs more upstreams",
+  },
   readerChanged: {
     number: 8052,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -166,6 +166,11 @@
     unit: "connections",
     meaning: "Connections opened only to see whether an upstream is reached, by tag `end`",
   },
+  "upstreams.brittle": {
+    type: "gauge",
+    unit: "upstreams",
+    meaning: "Upstreams that fall over when they refuse too many requests",
+  },
   "upstreams.limited": {
     type: "gauge",
     unit: "upstreams",
