Probe once when a neighbour begins to report an unreachable service

A host probed a service each half second for as long as a host of its data centre reported it as unreachable: 24 connections in a cut of 12 s from each host of a data centre, each with a price, though its own requests show the same.

--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -125,7 +125,7 @@
       versions.acceptVersion(report.settingsVersion);
       recordEra(report.settingsEra, report.host);
       if (report.dataCentre === localHost.dataCentre) {
-        reachability.checkReported(report.unreachableServices);
+        reachability.checkReported(report.host, report.unreachableServices);
       }
       settings.applyHeld();
     },
--- a/packages/daemon/src/reachability/create_reachability.ts
+++ b/packages/daemon/src/reachability/create_reachability.ts
@@ -49,8 +49,8 @@
   verifyLinks(lostUpstreamId: string): Promise<boolean>;
   /** Whether this host reaches no upstream of several services, and of no other one. */
   isCutOff(): boolean;
-  /** Probes services that another host of the same data centre does not reach. */
-  checkReported(services: readonly string[]): void;
+  /** Probes the services that a host of the same data centre has begun to report as unreachable. */
+  checkReported(host: string, services: readonly string[]): void;
   isUnreachable(service: string): boolean;
   listUnreachable(): string[];
   /** Probes the unreachable services that are due. */
@@ -68,6 +68,7 @@
   const services = new Map<string, ServiceReachability>();
   const probes = new Map<string, Promise<boolean>>();
   const probedAtMs = new Map<string, number>();
+  const reportedByHost = new Map<string, readonly string[]>();
   const getState = (service: string) => {
     const known = services.get(service);
     const state: ServiceReachability = known ?? {
@@ -197,8 +198,12 @@
       return results.length === 0 || results.includes(true);
     },
     isCutOff,
-    checkReported: (reported) =>
-      reported.filter((service) => !isUnreachable(service)).forEach(probeSeldom),
+    checkReported: (host, reported) => {
+      const former = reportedByHost.get(host) ?? [];
+      reported.length === 0 ? reportedByHost.delete(host) : reportedByHost.set(host, reported);
+      reported.filter((service) => !former.includes(service) && !isUnreachable(service))
+        .forEach(probeSeldom);
+    },
     isUnreachable,
     listUnreachable,
     tick: () => listUnreachable().forEach(probeSeldom),
