--- a/packages/protocol/src/glossary.ts
+++ b/packages/protocol/src/glossary.ts
@@ -42,6 +42,11 @@
     meaning:
       "A copy of a generation's KV cache on another engine, updated while the generation runs",
   },
+  {
+    term: "brittle upstream",
+    fieldTerm: "",
+    meaning: "An upstream that falls over when it has to refuse too many requests in a second",
+  },
   {
     term: "caller",
     fieldTerm: "client",
@@ -113,6 +118,11 @@
     meaning:
       "The permission to use a limited resource: of an admission owner for a generation, of a replica for a claim, of a slot owner for a load",
   },
+  {
+    term: "handover",
+    fieldTerm: "request forwarding, proxying",
+    meaning: "Sending a whole request to another host, which handles it as for its own caller",
+  },
   {
     term: "headroom",
     fieldTerm: "",
