Count a handed-over request once in reports

crocussail report showed a request that was handed over as lost on the host that had received it, and again on the host that served it. It is counted where it was served. The new test failed before.

--- a/packages/cli/src/report/build_charts.ts
+++ b/packages/cli/src/report/build_charts.ts
@@ -1,5 +1,6 @@
 import type { LogLine } from "../common/log_line.ts";
 import { decideReportedEnd } from "./decide_reported_end.ts";
+import { listServedLines } from "./list_served_lines.ts";
 import type { ReportedEnd } from "./decide_reported_end.ts";
 import type { ChartSeries, ReportChart } from "./report_chart.ts";
 
@@ -42,7 +43,7 @@
     return { name, points: counts.map((count, second) => [second, count]) };
   };
 
-  const servedLines = lines.filter(({ name }) => name === "requestServed");
+  const servedLines = listServedLines(lines);
   const requestCharts = KINDS.map(([kind, title]): ReportChart => {
     const kindLines = servedLines.filter(({ fields }) => fields["kind"] === kind);
     return {
--- a/packages/cli/src/report/report_command.ts
+++ b/packages/cli/src/report/report_command.ts
@@ -4,6 +4,7 @@
 import { readLogLines } from "../common/read_log_lines.ts";
 import { buildCharts } from "./build_charts.ts";
 import { decideReportedEnd } from "./decide_reported_end.ts";
+import { listServedLines } from "./list_served_lines.ts";
 import { renderReport } from "./render_report.ts";
 
 /** `crocussail report`: charts of the load, from the logs of several hosts. */
@@ -29,7 +30,7 @@
     if (lines === undefined) {
       return EXIT_CODE.usage;
     }
-    const servedLines = lines.filter(({ name }) => name === "requestServed");
+    const servedLines = listServedLines(lines);
     if (servedLines.length === 0) {
       this.context.stderr.write(
         `no request in ${lines.length} log lines; pass the logs of hosts that served callers\n`,
--- a/packages/cli/src/report/report_command_test.ts
+++ b/packages/cli/src/report/report_command_test.ts
@@ -97,6 +97,13 @@
     });
   }
 
+  it("counts a request that was handed over on the host that served it", async () => {
+    const log = createLine(0, "requestServed", { ...PLAIN, end: "handedOver", tookMs: 9 }) + "\n" +
+      createLine(1, "requestServed", { ...PLAIN, end: "answered", tookMs: 9 });
+    const { text } = await runReport(["--out", out, "-"], log);
+    expect(text).to.match(/^1 requests on 1 hosts: 1 inTime/);
+  });
+
   it("writes one page with all charts and prints a summary", async () => {
     const { code, text } = await runReport(["--out", out, "-"], LOG);
     expect([code, text]).to.deep.equal([
