--- a/packages/cli/src/report/decide_reported_end.ts
+++ b/packages/cli/src/report/decide_reported_end.ts
@@ -6,7 +6,7 @@
  */
 export type ReportedEnd = "inTime" | "late" | "answered" | "refused" | "lost" | "left";
 
-const REFUSALS = new Set(["refused", "notRun", "noUpstreamLeft", "heldBack"]);
+const REFUSALS = new Set(["refused", "notRun", "noUpstreamLeft", "heldBack", "limited"]);
 
 /** Classifies a `requestServed` line; the target of a stream applies to its first event. */
 export function decideReportedEnd({ fields }: Pick<LogLine, "fields">): ReportedEnd {
--- a/packages/cli/src/report/report_command_test.ts
+++ b/packages/cli/src/report/report_command_test.ts
@@ -86,6 +86,7 @@
     ["a stream's late first event", { ...STREAM, end: "answered", firstEventMs: 1_501 }, "late"],
     ["a stream that was cut", { ...STREAM, end: "cut", firstEventMs: 10 }, "lost"],
     ["a refusal before execution", { ...PLAIN, end: "notRun" }, "refused"],
+    ["a refusal at an upstream's limit", { ...PLAIN, end: "limited" }, "refused"],
     ["an upstream's own failure", { ...PLAIN, end: "failed" }, "lost"],
     ["a response without a stated target", { end: "answered", tookMs: 9 }, "answered"],
     ["a caller that disconnected", { ...PLAIN, end: "callerLeft" }, "left"],
