Let reports of two builds be read by each other

Cause: reports are arrays with fixed places; a report with fewer fields than the schema has was rejected, so a field could only be added by a restart of the whole fleet.

Change: fields are appended with a default. Places for evacuations, cold upstreams, waiting requests and the version of the build are added; they are sent empty until their parts come.

--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -79,6 +79,12 @@
   maxReportNotices: 8,
   /** Maximum services in a report that its host does not reach. */
   maxReportedServices: 64,
+  /** Maximum evacuations in a report. */
+  maxReportedEvacuations: 64,
+  /** Maximum cold upstreams in a report. */
+  maxReportedCold: 64,
+  /** Maximum entries of a report on the requests that wait. */
+  maxReportedWaiting: 16,
   /** Notices in a report; with them a report fits into two packets of 1,500 bytes. */
   noticesPerReport: 2,
   /** Notices of this host stored for hosts that join later; at the limit the oldest is dropped. */
--- a/packages/daemon/src/fleet_hosts/host_report_fields.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_fields.ts
@@ -1,6 +1,9 @@
 import type { HostReport } from "./host_report_schema.ts";
 
-/** Fields of a report in the order in which a datagram contains them. */
+/**
+ * Fields of a report in the order in which a datagram contains them. New fields are appended with a
+ * default in the schema: hosts of an earlier build ignore them and send reports without them.
+ */
 export const HOST_REPORT_FIELDS = [
   "host",
   "incarnation",
@@ -26,4 +29,8 @@
   "unreachableServices",
   "notices",
   "peers",
+  "protocolVersion",
+  "evacuations",
+  "cold",
+  "waiting",
 ] as const satisfies readonly (keyof HostReport)[];
--- a/packages/daemon/src/fleet_hosts/host_report_schema.ts
+++ b/packages/daemon/src/fleet_hosts/host_report_schema.ts
@@ -97,6 +97,32 @@
   ])).max(HOST_LIMITS.maxReportNotices),
   /** Peer addresses of some other hosts, for hosts that know only a few. */
   peers: z.array(addressSchema).max(64),
+  /** What the build of the host knows; 0 for builds whose reports end with `peers`. */
+  protocolVersion: z.number().int().min(0).default(0),
+  /**
+   * Evacuations of data centres as the host knows them: data centre, era and revision of the last
+   * change, and whether it is evacuated.
+   */
+  evacuations: z.array(z.tuple([
+    z.string().max(200),
+    z.number().int().min(0),
+    z.number().int().min(0),
+    z.boolean(),
+  ])).max(HOST_LIMITS.maxReportedEvacuations).default([]),
+  /** Cold upstreams: id, start, and milliseconds for which they stay cold. */
+  cold: z.array(z.tuple([z.string(), z.number(), z.number().min(0)]))
+    .max(HOST_LIMITS.maxReportedCold).default([]),
+  /**
+   * Requests that wait for room: service, priority, their number, the KV cache in tokens that the
+   * first one needs, and milliseconds since it arrived.
+   */
+  waiting: z.array(z.tuple([
+    z.string().max(200),
+    z.number(),
+    z.number().int().min(0),
+    z.number().min(0),
+    z.number().min(0),
+  ])).max(HOST_LIMITS.maxReportedWaiting).default([]),
 });
 
 /** A report of one host. */
--- a/packages/daemon/src/fleet_hosts/host_state_test.ts
+++ b/packages/daemon/src/fleet_hosts/host_state_test.ts
@@ -40,6 +40,10 @@
   unreachableServices: ["desk"],
   notices: [["t", "k", 500, { type: "seen" }]],
   peers: ["10.0.0.2:7200"],
+  protocolVersion: 1,
+  evacuations: [["a", 1, 90, true]],
+  cold: [["u7", 12, 800]],
+  waiting: [["llm", 0, 3, 2_550, 120]],
   ...change,
 });
 
--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -134,6 +134,10 @@
           limits: options.listLimits?.(index) ?? [],
           brittle: [],
           unreachableServices: [],
+          protocolVersion: 1,
+          evacuations: [],
+          cold: [],
+          waiting: [],
         }),
         applyReport: (received) => {
           reports.set(received.report.host, received.report);
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -41,6 +41,8 @@
 }
 
 const INCARNATION_BYTES = 8;
+/** Reports of this build contain evacuations, cold upstreams and waiting requests. */
+const PROTOCOL_VERSION = 1;
 
 /** Creates a gateway from its configuration and external interfaces. */
 export function createGateway(options: GatewayOptions): Gateway {
@@ -104,6 +106,10 @@
     limits: limits.listReported(),
     brittle: brittle.listReported(),
     unreachableServices: reachability.listUnreachable().slice(0, HOST_LIMITS.maxReportedServices),
+    protocolVersion: PROTOCOL_VERSION,
+    evacuations: [],
+    cold: [],
+    waiting: [],
   });
   const hosts = createFleetHosts({
     clock,
