Resume a generation only from a backup copy, not from an unfinished move

Cause: the target of a KV cache move was kept in the field of the backup copy. When the source ended during the move, the host asked the target to resume from a copy that did not exist there, or whose handle a timed-out resume had already used.

Change: the target of a move has a field of its own. It counts in the load as before, a backup copy on another engine is kept during the move, and only that one is resumed from.

--- a/bench/src/engines/run_engine_load.ts
+++ b/bench/src/engines/run_engine_load.ts
@@ -146,6 +146,7 @@
       requestId: request.id,
       upstreamId: engine.id,
       copyUpstreamId: undefined,
+      moveUpstreamId: undefined,
       ...size,
       isPrefilling: !isMigration,
       placedAtMs: nowMs,
--- a/packages/daemon/src/balancing/compute_local_loads.ts
+++ b/packages/daemon/src/balancing/compute_local_loads.ts
@@ -16,8 +16,10 @@
       memoryTokens,
       prefillingTokens,
     });
-    if (inFlight.copyUpstreamId !== undefined) {
-      addLoad(loads, inFlight.copyUpstreamId, { inFlight: 0, memoryTokens, prefillingTokens: 0 });
+    for (const id of [inFlight.copyUpstreamId, inFlight.moveUpstreamId]) {
+      if (id !== undefined) {
+        addLoad(loads, id, { inFlight: 0, memoryTokens, prefillingTokens: 0 });
+      }
     }
   }
   return loads;
--- a/packages/daemon/src/balancing/in_flight_request.ts
+++ b/packages/daemon/src/balancing/in_flight_request.ts
@@ -2,8 +2,10 @@
 export interface InFlightRequest {
   readonly requestId: string;
   readonly upstreamId: string;
-  /** Upstream that holds a copy of its KV cache, as a backup or for a migration. */
+  /** Upstream that holds a backup copy of its KV cache. */
   copyUpstreamId: string | undefined;
+  /** Upstream to which its KV cache is moved; it can resume there only with the handle of the move. */
+  moveUpstreamId: string | undefined;
   /** Prompt tokens; 0 for requests to plain services. */
   readonly promptTokens: number;
   /** Maximum tokens that it may produce. */
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -113,7 +113,7 @@
   if (inFlight === undefined) {
     return false;
   }
-  inFlight.copyUpstreamId = target.record.id;
+  inFlight.moveUpstreamId = target.record.id;
   context.reportLoadIncrease();
   const permit = await claimPermit(context, {
     upstream: source,
@@ -122,7 +122,7 @@
     patientMs: FORWARDING_LIMITS.movePermitTimeoutMs,
   });
   if (permit.type === "refused") {
-    inFlight.copyUpstreamId = undefined;
+    inFlight.moveUpstreamId = undefined;
     recordFailure(context, run, "copy", LIMIT_REACHED);
     return false;
   }
@@ -134,7 +134,7 @@
     timeoutMs: FORWARDING_LIMITS.cacheCopyTimeoutMs,
   });
   if (result.type !== "copied") {
-    inFlight.copyUpstreamId = undefined;
+    inFlight.moveUpstreamId = undefined;
     recordFailure(context, run, "copy", result.type === "failed" ? result.reason : result.type);
     return false;
   }
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -44,6 +44,7 @@
     requestId: request.requestId,
     upstreamId: upstream.record.id,
     copyUpstreamId: undefined,
+    moveUpstreamId: undefined,
     promptTokens: request.head.promptTokens,
     maxOutputTokens: request.head.maxOutputTokens,
     expectedTokens: request.head.expectedTokens,
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -136,6 +136,7 @@
       requestId: request.requestId,
       upstreamId: upstream.record.id,
       copyUpstreamId: backupTarget?.record.id,
+      moveUpstreamId: undefined,
       ...size,
       isPrefilling: true,
       placedAtMs: nowMs,
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -161,6 +161,7 @@
     requestId: request.requestId,
     upstreamId: upstream.record.id,
     copyUpstreamId: undefined,
+    moveUpstreamId: undefined,
     promptTokens: 0,
     maxOutputTokens: 0,
     expectedTokens: 0,
