Send nothing to the upstreams of an evacuated data centre

The new slice evacuation/ decides from changes, complete reads and other hosts' reports which data centres are evacuated, across restores of the store. Reports carry the state, and a change is reported at once. Upstreams there are never listed as usable, probed, or used for their backup copies; a request whose upstream was chosen just before is not sent. Generations that wait are refused when all upstreams of their service are evacuated. Requests are not handed to hosts of the former build while another host can take them.

--- a/packages/daemon/src/adapters/deployment_feed.ts
+++ b/packages/daemon/src/adapters/deployment_feed.ts
@@ -10,10 +10,32 @@
   readonly settings: RouteSettings;
 }
 
+/** A change of the evacuation of a data centre, and where it was written. */
+export interface PublishedEvacuation {
+  readonly dataCentre: string;
+  /** False if the entry was removed, which withdraws the evacuation. */
+  readonly isEvacuated: boolean;
+  readonly era: number;
+  readonly revision: number;
+}
+
+/** The evacuations that a complete read found. */
+export interface PublishedEvacuationList {
+  readonly era: number;
+  /** Revision of the settings service when the read began. */
+  readonly revision: number;
+  /** Revisions at which the entries were written, by data centre. */
+  readonly entries: ReadonlyMap<string, number>;
+}
+
 /** Handles the updates that a deployment publishes. */
 export interface DeploymentFeedListener {
   /** Applies a newer version of the settings. */
   applySettings(published: PublishedSettings): void;
+  /** Applies a change that a watch has seen. */
+  applyEvacuation(published: PublishedEvacuation): void;
+  /** Applies a complete read; called before the settings of that read are applied. */
+  applyEvacuationList(list: PublishedEvacuationList): void;
   applyUpstream(record: UpstreamRecord): void;
   /** Called when the record is deleted or no longer describes a usable upstream. */
   removeUpstream(id: string): void;
--- /dev/null
+++ b/packages/daemon/src/evacuation/mod.ts
@@ -0,0 +1,5 @@
+/** Evacuation of data centres: no request is sent to their upstreams. @module */
+export { EVACUATION_LIMITS } from "./constants.ts";
+export { createEvacuations } from "./create_evacuations.ts";
+export type { Evacuations } from "./create_evacuations.ts";
+export type { EvacuationEvent } from "./evacuation_event.ts";
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -9,6 +9,7 @@
 import type { CallerReply } from "./caller_reply.ts";
 import { checkRequest } from "./check_request.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
+import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createCallerReply } from "./create_caller_reply.ts";
 import { createWaitQueue } from "./create_wait_queue.ts";
@@ -19,6 +20,7 @@
 import { readBody } from "./read_body.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { isHeldBack } from "./is_held_back.ts";
+import { isServiceEvacuated } from "./is_service_evacuated.ts";
 import { listPartKeys } from "./list_part_keys.ts";
 import { migrateGeneration } from "./migrate_generation.ts";
 import { REFUSAL_DETAILS } from "./refusal_details.ts";
@@ -117,6 +119,13 @@
       run.finish("timeout");
       return;
     }
+    if (run.phase === "waiting" && isServiceEvacuated(context.upstreams, request.service.name)) {
+      const { name } = request.service;
+      const detail = `all upstreams of service ${name} lie in evacuated data centres`;
+      request.reply.refuse("noUpstreamLeft", detail, computeServiceRetryAfter(context, name));
+      run.finish("noUpstreamLeft");
+      return;
+    }
     if (run.phase === "running" && run.sentEvents === 0 && isHeldBack(context, request)) {
       // Its engine may still be reading the prompt; ending the request then avoids another crash.
       request.reply.refuse("outcomeUnknown", REFUSAL_DETAILS.requestHeldBack);
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -9,11 +9,12 @@
 import { createPromptPartQuarantine, createQuarantine } from "../quarantine/mod.ts";
 import { createReachability } from "../reachability/mod.ts";
 import { createUpstreamLimits } from "../upstream_limits/mod.ts";
-import { findUpstreamAt, getPauseMs } from "../upstreams/mod.ts";
+import { findUpstreamAt, getPauseMs, isEvacuated } from "../upstreams/mod.ts";
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
 import { createActiveSettings } from "./create_active_settings.ts";
+import { createEvacuationWiring } from "./create_evacuation_wiring.ts";
 import { createGatewayAnswers } from "./create_gateway_answers.ts";
 import { createGatewayListeners } from "./create_gateway_listeners.ts";
 import { createObservedExchange } from "./create_observed_exchange.ts";
@@ -89,6 +90,14 @@
       forwarder.migrateFrom(upstream);
     },
   });
+  const evacuation = createEvacuationWiring({
+    clock,
+    logger,
+    metrics,
+    state: upstreams.state,
+    scheduleUrgentReport: () => hosts.scheduleUrgentReport(),
+    handleReturned: () => {},
+  });
   const isReady = () => readSettings() !== undefined && !isLeaving;
   const describeHost = (): LocalReport => ({
     host: config.host.name,
@@ -107,7 +116,7 @@
     brittle: brittle.listReported(),
     unreachableServices: reachability.listUnreachable().slice(0, HOST_LIMITS.maxReportedServices),
     protocolVersion: PROTOCOL_VERSION,
-    evacuations: [],
+    evacuations: evacuation.listReported(),
     cold: [],
     waiting: [],
   });
@@ -123,6 +132,7 @@
     seeds: seedAddresses,
     buildReport: describeHost,
     applyReport: ({ report, ageMs }) => {
+      evacuation.acceptReport({ report, ageMs });
       const sentAtMs = clock.readMonotonicMs() - ageMs;
       loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
       applyReportedUpstreams(upstreams, reading, { report, ageMs }, clock.readMonotonicMs());
@@ -167,7 +177,9 @@
     listServices: () => [...readSettings()?.services.keys() ?? []],
     listUpstreams: (service) =>
       [...upstreams.state.upstreams.values()]
-        .filter(({ record, status }) => record.service === service && status === "ready")
+        .filter(({ record, status }) =>
+          record.service === service && status === "ready" && !isEvacuated(upstreams.state, record)
+        )
         .map(({ record }) => ({
           id: record.id,
           address: record.address,
@@ -224,6 +236,7 @@
       }
     },
   });
+  const openAllowedExchange = evacuation.createGuard(openExchange);
   const brittle = createBrittleUpstreams({
     clock,
     logger,
@@ -233,7 +246,9 @@
     canOwn: (service) => !isLeaving && !reachability.isUnreachable(service),
     listUpstreams: (service) =>
       [...upstreams.state.upstreams.values()]
-        .filter(({ record, status }) => record.service === service && status === "ready")
+        .filter(({ record, status }) =>
+          record.service === service && status === "ready" && !isEvacuated(upstreams.state, record)
+        )
         .map(({ record }) => record),
     countInFlight: (id) => computeLocalLoads(loads).get(id)?.inFlight ?? 0,
   });
@@ -246,6 +261,7 @@
     listLive: hosts.listLive,
     isUnreachable: reachability.isUnreachable,
     readSettingsVersion: () => readSettings()?.version ?? 0,
+    hasEvacuations: evacuation.hasEvacuations,
   });
   const quarantine = createQuarantine({
     context: { clock, logger, random },
@@ -263,8 +279,8 @@
       logger,
       metrics,
       dialect,
-      openExchange,
-      kvCache: options.createKvCache(openExchange),
+      openExchange: openAllowedExchange,
+      kvCache: options.createKvCache(openAllowedExchange),
       upstreams: upstreams.state,
       loads,
       limits,
@@ -392,6 +408,7 @@
       await hosts.start();
       options.feed.start({
         applySettings: settings.apply,
+        ...evacuation.listener,
         applyUpstream: upstreams.applyRecord,
         removeUpstream: upstreams.removeRecord,
         applyUpstreamList: upstreams.applyList,
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -13,6 +13,8 @@
   DeploymentFeed,
   DeploymentFeedListener,
   FeedIntervals,
+  PublishedEvacuation,
+  PublishedEvacuationList,
   PublishedSettings,
 } from "../adapters/deployment_feed.ts";
 export type {
--- a/packages/daemon/src/handover/choose_handover_host.ts
+++ b/packages/daemon/src/handover/choose_handover_host.ts
@@ -10,6 +10,7 @@
   | "isReady"
   | "isLeaving"
   | "settingsVersion"
+  | "protocolVersion"
   | "unreachableServices"
 >;
 
@@ -18,6 +19,8 @@
   readonly service: string;
   /** Version of this host's settings; a host with an older one could handle the request by it. */
   readonly settingsVersion: number;
+  /** Hosts of builds with an earlier version are chosen only if no other one is left. */
+  readonly minProtocolVersion: number;
   /** Names of hosts that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
   readonly random: RandomSource;
@@ -29,12 +32,14 @@
  */
 export function chooseHandoverHost<Host extends HandoverHost>(
   hosts: readonly Host[],
-  { service, settingsVersion, excluded, random }: HandoverChoice,
+  { service, settingsVersion, minProtocolVersion, excluded, random }: HandoverChoice,
 ): Host | undefined {
-  const candidates = hosts.filter((host) =>
+  const fit = hosts.filter((host) =>
     host.isReady && !host.isLeaving && host.settingsVersion >= settingsVersion &&
     !excluded.has(host.host) && !host.unreachableServices.includes(service)
   );
+  const current = fit.filter(({ protocolVersion }) => protocolVersion >= minProtocolVersion);
+  const candidates = current.length > 0 ? current : fit;
   let left = random.nextFloat() * candidates.reduce((sum, { size }) => sum + size, 0);
   return candidates.find(({ size }) => (left -= size) < 0) ?? candidates.at(-1);
 }
--- a/packages/daemon/src/handover/choose_handover_host_test.ts
+++ b/packages/daemon/src/handover/choose_handover_host_test.ts
@@ -10,15 +10,17 @@
   isReady: true,
   isLeaving: false,
   settingsVersion: 5,
+  protocolVersion: 1,
   unreachableServices: [],
 };
 
 describe("chooseHandoverHost", () => {
   const random = createSeededRandom(1);
-  const choose = (hosts: readonly HandoverHost[]) =>
+  const choose = (hosts: readonly HandoverHost[], minProtocolVersion = 0) =>
     chooseHandoverHost(hosts, {
       service: "desk",
       settingsVersion: 5,
+      minProtocolVersion,
       excluded: new Set(["tried"]),
       random,
     })?.host;
@@ -36,6 +38,14 @@
       .to.equal("h2");
   });
 
+  // Guards against a request that a host of the former build sends to an evacuated data centre.
+  it("chooses a host of a build that lacks a needed protocol only if no other one is left", () => {
+    const former = { ...HOST, host: "former", protocolVersion: 0, size: 1_000 };
+    expect(choose([former, HOST], 1)).to.equal("h1");
+    expect(choose([former, { ...HOST, isReady: false }], 1)).to.equal("former");
+    expect(choose([former, { ...HOST, size: 0.001 }], 0)).to.equal("former");
+  });
+
   it("chooses hosts in proportion to their sizes", () => {
     const hosts = [HOST, { ...HOST, host: "large", size: 3 }];
     const chosen = Array.from({ length: 400 }, () => choose(hosts));
--- a/packages/daemon/src/handover/create_handover.ts
+++ b/packages/daemon/src/handover/create_handover.ts
@@ -22,6 +22,8 @@
   /** Whether this host reaches no upstream of a service. */
   readonly isUnreachable: (service: string) => boolean;
   readonly readSettingsVersion: () => number;
+  /** Whether any data centre is evacuated, as hosts of the former build do not know. */
+  readonly hasEvacuations: () => boolean;
 }
 
 /** A request as its caller sent it. */
@@ -63,6 +65,9 @@
   open(host: HandoverHost, request: HandoverRequest, handler: HandoverHandler): UpstreamExchange;
 }
 
+/** First protocol version whose hosts know of evacuations. */
+const EVACUATION_PROTOCOL_VERSION = 1;
+
 /** Creates the handover. */
 export function createHandover(options: HandoverOptions): Handover {
   const { clock, fleetKey } = options;
@@ -82,6 +87,7 @@
       return chooseHandoverHost(live.filter(({ host }) => among?.has(host) ?? true), {
         service,
         settingsVersion: options.readSettingsVersion(),
+        minProtocolVersion: options.hasEvacuations() ? EVACUATION_PROTOCOL_VERSION : 0,
         excluded: new Set([...tried, ...unreachableUntilMs.keys()]),
         random: options.random,
       });
--- a/packages/daemon/src/upstreams/create_upstream_state.ts
+++ b/packages/daemon/src/upstreams/create_upstream_state.ts
@@ -7,6 +7,7 @@
     unreachable: new Map(),
     pauses: new Map(),
     pausesElsewhere: new Map(),
+    evacuated: new Map(),
     isSettingsServiceDown: false,
     lastOutageAtMs: Number.NEGATIVE_INFINITY,
     restoredAtMs: Number.NEGATIVE_INFINITY,
--- a/packages/daemon/src/upstreams/find_shortest_pause.ts
+++ b/packages/daemon/src/upstreams/find_shortest_pause.ts
@@ -1,12 +1,13 @@
 import { getPauseMs } from "./get_pause_ms.ts";
+import { isEvacuated } from "./is_evacuated.ts";
 import type { UpstreamState } from "./upstream_state.ts";
 
 /**
  * Finds the time in milliseconds after which the first upstream of a service accepts requests again;
- * undefined unless all of them, but for the excluded ones, pause.
+ * undefined unless all of them pause, but for the excluded ones and those of evacuated data centres.
  */
 export function findShortestPause(
-  state: Pick<UpstreamState, "pauses" | "upstreams">,
+  state: Pick<UpstreamState, "pauses" | "upstreams" | "evacuated">,
   service: string,
   nowMs: number,
   excluded: ReadonlySet<string> = new Set(),
@@ -14,7 +15,7 @@
   const pauses = [...state.upstreams.values()]
     .filter(({ record, status }) =>
       record.service === service && !excluded.has(record.id) &&
-      (status === "ready" || status === "lapsed")
+      (status === "ready" || status === "lapsed") && !isEvacuated(state, record)
     )
     .map(({ record }) => getPauseMs(state, record, nowMs));
   const shortestMs = Math.min(...pauses);
--- a/packages/daemon/src/upstreams/mod.ts
+++ b/packages/daemon/src/upstreams/mod.ts
@@ -8,6 +8,7 @@
 export { findShortestPause } from "./find_shortest_pause.ts";
 export { findUpstreamAt } from "./find_upstream_at.ts";
 export { getPauseMs } from "./get_pause_ms.ts";
+export { isEvacuated } from "./is_evacuated.ts";
 export { isSameIncarnation } from "./is_same_incarnation.ts";
 export { isUpstreamReachable } from "./is_upstream_reachable.ts";
 export { listAbsentUpstreams } from "./list_absent_upstreams.ts";
--- a/packages/daemon/src/upstreams/upstream_state.ts
+++ b/packages/daemon/src/upstreams/upstream_state.ts
@@ -35,6 +35,8 @@
   readonly pauses: Map<string, UpstreamPause>;
   /** Upstreams that want none from another host: monotonic time of expiry, by id. */
   readonly pausesElsewhere: Map<string, number>;
+  /** Evacuated data centres, with the monotonic time at which this host learnt of it. */
+  readonly evacuated: Map<string, number>;
   /** The settings service does not respond; removals during this time are uncertain. */
   isSettingsServiceDown: boolean;
   /** Monotonic time at which its availability last changed; removals soon after are uncertain. */
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -227,6 +227,24 @@
     title: "Upstream says, or no longer says, that it falls over when it refuses too many requests",
     action: "If it lasts, the service needs more upstreams",
   },
+  dataCentreEvacuated: {
+    number: 8060,
+    level: "warn",
+    title: "Data centre is evacuated: this host sends nothing more to its upstreams",
+    action: "none; `by` is the settings service or the host that this host learnt it from",
+  },
+  evacuationWithdrawn: {
+    number: 8061,
+    level: "info",
+    title: "Evacuation of a data centre was withdrawn: its upstreams are used again",
+    action: "none",
+  },
+  evacuatedUpstreamSkipped: {
+    number: 8062,
+    level: "info",
+    title: "Request was not sent, because its upstream lies in an evacuated data centre",
+    action: "none; the upstream had been chosen just before the evacuation",
+  },
   readerChanged: {
     number: 8052,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -166,6 +166,11 @@
     unit: "connections",
     meaning: "Connections opened only to see whether an upstream is reached, by tag `end`",
   },
+  "upstreams.evacuatedDataCentres": {
+    type: "gauge",
+    unit: "data centres",
+    meaning: "Evacuated data centres that this host knows",
+  },
   "upstreams.brittle": {
     type: "gauge",
     unit: "upstreams",
