Move running generations out of an evacuated data centre

Cause: generations that ran in a data centre when it was evacuated stayed there until they ended, or were cut with it.

Change: they migrate with the reason evacuating, as from a draining engine. Moves are counted by reason.

--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -12,6 +12,7 @@
 import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createCallerReply } from "./create_caller_reply.ts";
+import { createEvacuationMover } from "./create_evacuation_mover.ts";
 import { createWaitQueue } from "./create_wait_queue.ts";
 import { digestForwardedRequest } from "./digest_forwarded_request.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
@@ -102,6 +103,15 @@
     }
   };
 
+  const evacuationMover = createEvacuationMover({
+    context,
+    listRuns: () => runs,
+    migrate: (run) => {
+      migrateGeneration(context, run, "evacuating")
+        .catch((error) => reportFault(run.request, error));
+    },
+  });
+
   const checkRun = (run: GenerationRun, nowMs: number) => {
     const { request } = run;
     if (nowMs >= request.deadlineAtMs) {
@@ -157,6 +167,7 @@
       }
     }
     leaving.forEach(migrateNext);
+    evacuationMover.tick(nowMs);
     waitQueue.expireAndPlaceNext(nowMs);
     metrics.gauge("forwarding.running", running);
     metrics.gauge("forwarding.waiting", waitQueue.count());
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -1,5 +1,6 @@
 import type { KvCacheSource } from "../adapters/deployment_dialect.ts";
-import { getPauseMs } from "../upstreams/mod.ts";
+import { isPastLastCall } from "../evacuation/mod.ts";
+import { getPauseMs, isEvacuated } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { claimPermit } from "./claim_permit.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
@@ -14,8 +15,11 @@
 
 const LIMIT_REACHED = "the upstream has reached the limit that it names";
 
-/** Why a generation migrates: its engine drains, or has sent no event for some time. */
-export type MigrationReason = "draining" | "silent";
+/**
+ * Why a generation migrates: its engine drains, or has sent no event for some time, or its data
+ * centre is evacuated.
+ */
+export type MigrationReason = "draining" | "silent" | "evacuating";
 
 /**
  * Migrates a running generation away from its upstream: resumes it from the backup copy on
@@ -32,7 +36,8 @@
     return;
   }
   // An engine that sends nothing may not answer a request to copy either.
-  const canMove = reason === "draining" && run.request.service.engine?.canMove === true;
+  const canMove = reason !== "silent" && isCallable(context, run.upstream) &&
+    run.request.service.engine?.canMove === true;
   if (!canMove && findBackupCopy(context, run) === undefined) {
     return; // it stays on its engine until it ends
   }
@@ -41,7 +46,7 @@
     const isFromBackup = await tryBackupCopy(context, run, reason);
     const hasMigrated = isFromBackup || (canMove && await migrateCache(context, run));
     const end = isFromBackup ? "fromCopy" : hasMigrated ? "copied" : "failed";
-    context.metrics.increment("forwarding.moves", 1, { end });
+    context.metrics.increment("forwarding.moves", 1, { end, reason });
   } finally {
     run.isMigrating = false;
   }
@@ -53,7 +58,7 @@
   run: GenerationRun,
   reason: MigrationReason,
 ): Promise<boolean> {
-  const maxWaitMs = reason === "draining" ? FORWARDING_LIMITS.maxBackupWaitMs : 0;
+  const maxWaitMs = reason === "silent" ? 0 : FORWARDING_LIMITS.maxBackupWaitMs;
   const startMs = context.clock.readMonotonicMs();
   for (;;) {
     const copy = findBackupCopy(context, run);
@@ -79,6 +84,9 @@
     if (run.phase !== "running" || source === undefined || run.inFlight === undefined) {
       return run.phase === "ended";
     }
+    if (!isCallable(context, source)) {
+      return false;
+    }
     const target = chooseGenerationUpstream(context, {
       request: run.request,
       purpose: "move",
@@ -121,7 +129,7 @@
     waitMs: FORWARDING_LIMITS.movePermitTimeoutMs,
     patientMs: FORWARDING_LIMITS.movePermitTimeoutMs,
   });
-  if (permit.type === "refused") {
+  if (permit.type === "refused" || !isCallable(context, source)) {
     inFlight.copyUpstreamId = undefined;
     recordFailure(context, run, "copy", LIMIT_REACHED);
     return false;
@@ -154,7 +162,10 @@
   way: "copy" | "move",
 ): Promise<boolean> {
   const { stream, request } = run;
-  if (stream === undefined || run.phase !== "running" || isPausing(context, upstream)) {
+  if (
+    stream === undefined || run.phase !== "running" || isPausing(context, upstream) ||
+    isEvacuated(context.upstreams, upstream.record)
+  ) {
     return false;
   }
   const permit = await claimPermit(context, {
@@ -210,6 +221,12 @@
   return getPauseMs(context.upstreams, record, context.clock.readMonotonicMs()) > 0;
 }
 
+/** Whether an upstream may be called to copy: in an evacuated data centre only for some time. */
+function isCallable(context: ForwardingContext, upstream: Upstream | undefined): boolean {
+  const learntAtMs = context.upstreams.evacuated.get(upstream?.record.dataCentre ?? "");
+  return !isPastLastCall(learntAtMs, context.clock.readMonotonicMs());
+}
+
 function releaseBufferedEvents(
   context: ForwardingContext,
   run: GenerationRun,
--- a/packages/daemon/src/gateway/create_evacuation_guard.ts
+++ b/packages/daemon/src/gateway/create_evacuation_guard.ts
@@ -3,7 +3,7 @@
   OpenUpstreamExchange,
   UpstreamExchangeRequest,
 } from "../adapters/upstream_exchange.ts";
-import { EVACUATION_LIMITS } from "../evacuation/mod.ts";
+import { isPastLastCall } from "../evacuation/mod.ts";
 import { findUpstreamAt } from "../upstreams/mod.ts";
 import type { UpstreamState } from "../upstreams/mod.ts";
 
@@ -24,10 +24,9 @@
   const { clock, logger, state } = options;
   const findBarred = ({ address, upstreamId }: UpstreamExchangeRequest) => {
     const upstream = findUpstreamAt(state, address, upstreamId);
-    const sinceMs = state.evacuated.get(upstream?.record.dataCentre ?? "");
-    const elapsedMs = clock.readMonotonicMs() - (sinceMs ?? Number.POSITIVE_INFINITY);
-    const isBarred = sinceMs !== undefined &&
-      (upstreamId !== undefined || elapsedMs >= EVACUATION_LIMITS.lastCallMs);
+    const learntAtMs = state.evacuated.get(upstream?.record.dataCentre ?? "");
+    const isBarred = learntAtMs !== undefined &&
+      (upstreamId !== undefined || isPastLastCall(learntAtMs, clock.readMonotonicMs()));
     return isBarred ? upstream : undefined;
   };
   return (request, handler) => {
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -245,6 +245,12 @@
     title: "Request was not sent, because its upstream lies in an evacuated data centre",
     action: "none; the upstream had been chosen just before the evacuation",
   },
+  evacuationMovesOver: {
+    number: 8063,
+    level: "info",
+    title: "Time to move generations out of an evacuated data centre is over on this host",
+    action: "running above 0: that many run to their end there; check for free room elsewhere",
+  },
   readerChanged: {
     number: 8052,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -139,7 +139,8 @@
   "forwarding.moves": {
     type: "counter",
     unit: "generations",
-    meaning: "Migrations of running generations, by tag `end`: copied, fromCopy, failed",
+    meaning:
+      "Migrations of running generations, by tag `end`: copied, fromCopy, failed, and tag `reason`: draining, silent, evacuating",
   },
   "upstreams.known": {
     type: "gauge",
