--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -9,8 +9,10 @@
 import type { CallerReply } from "./caller_reply.ts";
 import { checkRequest } from "./check_request.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
+import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createCallerReply } from "./create_caller_reply.ts";
+import { createEvacuationMover } from "./create_evacuation_mover.ts";
 import { createWaitQueue } from "./create_wait_queue.ts";
 import { digestForwardedRequest } from "./digest_forwarded_request.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
@@ -19,6 +21,7 @@
 import { readBody } from "./read_body.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { isHeldBack } from "./is_held_back.ts";
+import { isServiceEvacuated } from "./is_service_evacuated.ts";
 import { listPartKeys } from "./list_part_keys.ts";
 import { migrateGeneration } from "./migrate_generation.ts";
 import { REFUSAL_DETAILS } from "./refusal_details.ts";
@@ -100,6 +103,15 @@
     }
   };
 
+  const evacuationMover = createEvacuationMover({
+    context,
+    listRuns: () => runs,
+    migrate: (run) => {
+      migrateGeneration(context, run, "evacuating")
+        .catch((error) => reportFault(run.request, error));
+    },
+  });
+
   const checkRun = (run: GenerationRun, nowMs: number) => {
     const { request } = run;
     if (nowMs >= request.deadlineAtMs) {
@@ -117,6 +129,13 @@
       run.finish("timeout");
       return;
     }
+    if (run.phase === "waiting" && isServiceEvacuated(context.upstreams, request.service.name)) {
+      const { name } = request.service;
+      const detail = `all upstreams of service ${name} lie in evacuated data centres`;
+      request.reply.refuse("noUpstreamLeft", detail, computeServiceRetryAfter(context, name));
+      run.finish("noUpstreamLeft");
+      return;
+    }
     if (run.phase === "running" && run.sentEvents === 0 && isHeldBack(context, request)) {
       // Its engine may still be reading the prompt; ending the request then avoids another crash.
       request.reply.refuse("outcomeUnknown", REFUSAL_DETAILS.requestHeldBack);
@@ -148,6 +167,7 @@
       }
     }
     leaving.forEach(migrateNext);
+    evacuationMover.tick(nowMs);
     waitQueue.expireAndPlaceNext(nowMs);
     metrics.gauge("forwarding.running", running);
     metrics.gauge("forwarding.waiting", waitQueue.count());
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -139,7 +139,8 @@
   "forwarding.moves": {
     type: "counter",
     unit: "generations",
-    meaning: "Migrations of running generations, by tag `end`: copied, fromCopy, failed",
+    meaning:
+      "Migrations of running generations, by tag `end`: copied, fromCopy, failed, and tag `reason`: draining, silent, evacuating",
   },
   "upstreams.known": {
     type: "gauge",
@@ -166,6 +167,11 @@
     unit: "connections",
     meaning: "Connections opened only to see whether an upstream is reached, by tag `end`",
   },
+  "upstreams.evacuatedDataCentres": {
+    type: "gauge",
+    unit: "data centres",
+    meaning: "Evacuated data centres that this host knows",
+  },
   "upstreams.brittle": {
     type: "gauge",
     unit: "upstreams",
