--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -96,7 +96,7 @@
     metrics,
     state: upstreams.state,
     scheduleUrgentReport: () => hosts.scheduleUrgentReport(),
-    handleReturned: () => {},
+    handleReturned: () => {}, // its upstreams count as warm
   });
   const isReady = () => readSettings() !== undefined && !isLeaving;
   const describeHost = (): LocalReport => ({
