--- a/packages/daemon/src/adapters/deployment_dialect.ts
+++ b/packages/daemon/src/adapters/deployment_dialect.ts
@@ -13,6 +13,11 @@
   readonly expectedTokens: number;
   /** Ids of the prompt's parts, in order; the last one is specific to the request or its session. */
   readonly promptParts: readonly string[];
+  /**
+   * Id of the last event that the caller has received of an earlier attempt; undefined if the header
+   * is missing, appears twice or is not a whole number.
+   */
+  readonly lastEventId: number | undefined;
 }
 
 /** Location of a copy of a generation's KV cache. */
@@ -32,8 +37,11 @@
   /** Address of the engine that keeps a backup copy of the KV cache. */
   readonly copyAddress?: string;
   readonly resumeFrom?: KvCacheSource;
-  /** Last event that the caller has received, when a generation resumes. */
-  readonly lastEventId?: number;
+  /**
+   * Last event that the caller has received, when a generation resumes; `none` removes the caller's
+   * own header, and without a value it is passed through.
+   */
+  readonly lastEventId?: number | "none";
 }
 
 /** What an upstream says of itself in the header of a response. */
--- a/packages/daemon/src/retries/decide_retry.ts
+++ b/packages/daemon/src/retries/decide_retry.ts
@@ -6,6 +6,8 @@
 /** State of a request after an attempt. */
 export interface AttemptHistory {
   readonly kind: RequestKind;
+  /** A stream that may be resumed at any upstream, so that it may run more than once. */
+  readonly isResumable?: boolean;
   readonly outcome: AttemptOutcome;
   /** Attempts that were or may have been executed. */
   readonly executedAttempts: number;
@@ -35,9 +37,10 @@
     return "relay";
   }
   const isUnexecuted = hasNotExecuted(outcome);
+  const isRepeatable = kind === "repeatable" || (kind === "stream" && history.isResumable === true);
   const isAllowed = isUnexecuted
     ? history.unexecutedAttempts < RETRY_LIMITS.maxUnexecutedAttempts
-    : kind === "repeatable" && executedAttempts < history.maxAttempts;
+    : isRepeatable && executedAttempts < history.maxAttempts;
   const isWithinBudget = outcome === "notSent" || history.hasBudget;
   if (
     isAllowed && isWithinBudget && !history.isQuarantined &&
--- a/packages/daemon/src/routes/find_route_test.ts
+++ b/packages/daemon/src/routes/find_route_test.ts
@@ -13,6 +13,7 @@
   timeoutMs: 1_000,
   targetMs: 100,
   maxAttempts: 1,
+  isResumable: false,
   priority: 0,
   isPublic: false,
   ...change,
--- a/packages/daemon/src/routes/route.ts
+++ b/packages/daemon/src/routes/route.ts
@@ -30,4 +30,6 @@
   readonly priority: number;
   /** Requests need no team key. */
   readonly isPublic: boolean;
+  /** A stream of this route may be resumed at any engine after the last event received. */
+  readonly isResumable: boolean;
 }
