Run resumable streams again at another engine

Cause: a stream whose engine was lost, refused the copy or answered 500 before its first event was cut or answered 502 on every route. Change: on routes with resume_streams the request is sent to a further engine after the last event sent, within max_attempts and the retry budget; a backup copy is still tried first. Events are checked for their order, and a stream that leaves one out fails. A Last-Event-Id of the caller sets the first expected event. A generation that has found no way to migrate leaves its draining engine after 1,000 ms. A run that hangs while it is resumed from a copy is closed at once, so that two engines never run the same stream. Log events 8070 to 8074, metric forwarding.reruns.

--- a/packages/daemon/src/adapters/upstream_exchange.ts
+++ b/packages/daemon/src/adapters/upstream_exchange.ts
@@ -26,8 +26,11 @@
 
 /** An exchange in progress. */
 export interface UpstreamExchange {
-  /** Closes the connection; the handler is not called again. */
-  abort(): void;
+  /**
+   * Closes the connection; the handler is not called again. Unless `mustStop` is set, the connection
+   * may stay open for a moment, to read what the upstream says of itself.
+   */
+  abort(mustStop?: boolean): void;
   /** Whether any byte of the request may have been sent. */
   hasSent(): boolean;
 }
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -70,6 +70,20 @@
   maxLimitedCandidates: 8,
   /** Priority of generations that resume: they come before any that starts. */
   resumePriority: -1,
+  /**
+   * Shortest gap after which callers abandon a stream. They also wait for four times the target, and
+   * for eight times the gap target of 180 ms, which is always shorter than this.
+   */
+  callerPatienceMs: 2_000,
+  /** The same gap as a multiple of the route's target. */
+  callerPatienceTargetFactor: 4,
+  /** Share of that gap in which a generation that is run again waits for room; prefill follows. */
+  rerunWaitShare: 0.6,
+  /**
+   * Time after a drain notice at which a resumable generation that has not migrated is run again;
+   * engines end 1.5 to 2.1 s after a notice, which may be known 100 ms later.
+   */
+  drainRerunMs: 1_000,
   /** Maximum length of this host's wait queue; generations beyond it are refused. */
   maxQueued: 256,
 } as const;
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -87,6 +87,16 @@
       migrateGeneration(context, run, "draining").catch((error) => reportFault(run.request, error));
     }
   };
+  /** Runs generations again that have not found a way to migrate, before their engine ends. */
+  const rerunFrom = (upstreamId: string, nowMs: number) => {
+    const upstream = context.upstreams.upstreams.get(upstreamId);
+    const isLate = upstream !== undefined && !upstream.isAbsent &&
+      nowMs - upstream.sinceMs >= FORWARDING_LIMITS.drainRerunMs;
+    let left = isLate ? FORWARDING_LIMITS.maxMigrationsPerUpstream : 0;
+    for (const run of [...runs].filter((each) => each.upstream?.record.id === upstreamId)) {
+      left -= Number(left > 0 && run.leaveDraining());
+    }
+  };
   const reportFault = (request: Pick<ForwardedRequest, "requestId" | "reply">, error: unknown) => {
     const reason = error instanceof Error ? error.stack ?? error.message : String(error);
     logger.writeEvent("requestFailed", { request: request.requestId, reason });
@@ -105,7 +115,7 @@
     if (nowMs >= request.deadlineAtMs) {
       if (request.reply.hasStarted()) {
         request.reply.abort();
-      } else if (run.phase === "waiting") {
+      } else if (run.phase === "waiting" && run.executedAttempts === 0) {
         request.reply.refuse(
           "noRoomInTime",
           "deadline exceeded",
@@ -147,7 +157,10 @@
         leaving.add(id);
       }
     }
-    leaving.forEach(migrateNext);
+    leaving.forEach((upstreamId) => {
+      migrateNext(upstreamId);
+      rerunFrom(upstreamId, nowMs);
+    });
     waitQueue.expireAndPlaceNext(nowMs);
     metrics.gauge("forwarding.running", running);
     metrics.gauge("forwarding.waiting", waitQueue.count());
@@ -335,6 +348,12 @@
       isCounted: handover?.isCounted ?? false,
       reply,
     };
+    if (route.isResumable && head.lastEventId !== undefined) {
+      logger.writeEvent("streamResumedByCaller", {
+        request: requestId,
+        afterEvent: head.lastEventId,
+      });
+    }
     try {
       await forward(request);
     } catch (error) {
--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -1,6 +1,7 @@
 import type { UpstreamExchange } from "../adapters/upstream_exchange.ts";
 import type { InFlightRequest } from "../balancing/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
+import type { FailedStream, StreamRecovery } from "./decide_stream_recovery.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 
 /**
@@ -22,14 +23,38 @@
   handleClose: (() => void) | undefined;
 }
 
+/** Why a generation is run again. */
+export type RerunCause =
+  | "refused"
+  | "notSent"
+  | "failedResponse"
+  | "lostResponse"
+  | "brokenStream"
+  | "skippedEvent"
+  | "draining";
+
+/** Failure of the engine of a generation. */
+export type RunFailure = Pick<FailedStream, "outcome" | "status" | "hasCopy">;
+
 /** One generation forwarded by this host, and its current upstream. */
 export interface GenerationRun {
   readonly request: ForwardedRequest;
   phase: GenerationPhase;
   upstream: Upstream | undefined;
   stream: GenerationStream | undefined;
+  /** Stream of the engine that is requested to resume it from a copy of its KV cache. */
+  resumingStream: GenerationStream | undefined;
   inFlight: InFlightRequest | undefined;
-  /** Id of the last event sent to the caller. */
+  /** Events that the caller has received of its earlier attempts, by its own last event id. */
+  readonly formerEvents: number;
+  /** Engines that failed after they may have run it; a migration does not count. */
+  executedAttempts: number;
+  /** Resolves once the quarantine can decide on the last engine that was lost. */
+  lossRecorded: Promise<void> | undefined;
+  /**
+   * Id of the last event sent to the caller; before the first, the one that the caller of a resumable
+   * stream has named.
+   */
   lastEventId: number | undefined;
   sentEvents: number;
   /** Monotonic time of the last event sent to the caller; undefined before the first. */
@@ -44,8 +69,14 @@
   silenceCheckAtMs: number;
   /** A migration is in progress. */
   isMigrating: boolean;
-  /** Resumes it from its backup copy after its stream failed, or ends it with an error. */
-  readonly restore: (reason: string) => void;
+  /** Continues it at another engine after its stream failed, or ends it with an error. */
+  readonly restore: (reason: string, cause?: RerunCause) => void;
+  /** Decides what follows a failure of its engine. */
+  readonly decideRecovery: (failure: RunFailure) => StreamRecovery;
+  /** Runs it again at another engine after `restore`; returns false if it must not run again. */
+  readonly runAgain: (reason: string, cause: RerunCause) => boolean;
+  /** Runs it again at another engine that has room now; returns false if it stays on its engine. */
+  readonly leaveDraining: () => boolean;
   /** Ends the run. */
   finish: (end: string) => void;
 }
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -55,11 +55,13 @@
 ): Promise<boolean> {
   const maxWaitMs = reason === "draining" ? FORWARDING_LIMITS.maxBackupWaitMs : 0;
   const startMs = context.clock.readMonotonicMs();
+  const { stream } = run;
   for (;;) {
     const copy = findBackupCopy(context, run);
     // A silent stream has no better place, as after its connection is lost; a draining one has.
     const isUsable = reason === "silent" || copy?.upstream.status === "ready";
-    if (run.phase !== "running" || copy === undefined || !isUsable) {
+    const isMoved = run.phase !== "running" || run.stream !== stream;
+    if (isMoved || copy === undefined || !isUsable) {
       return false;
     }
     if (await tryResume(context, run, copy.upstream, copy.source, "copy")) {
@@ -74,11 +76,15 @@
 
 async function migrateCache(context: ForwardingContext, run: GenerationRun): Promise<boolean> {
   const source = run.upstream;
+  const { stream } = run;
   const excluded = new Set<string>();
   for (let tries = 0; tries < FORWARDING_LIMITS.maxMigrationTargets;) {
     if (run.phase !== "running" || source === undefined || run.inFlight === undefined) {
       return run.phase === "ended";
     }
+    if (run.stream !== stream) {
+      return false; // it has failed and runs at another engine since
+    }
     const target = chooseGenerationUpstream(context, {
       request: run.request,
       purpose: "move",
@@ -109,7 +115,7 @@
   source: Upstream,
   target: Upstream,
 ): Promise<boolean> {
-  const { inFlight, request } = run;
+  const { inFlight, request, stream } = run;
   if (inFlight === undefined) {
     return false;
   }
@@ -139,6 +145,9 @@
     return false;
   }
   const cacheSource = { address: source.record.address, handle: result.handle };
+  if (run.phase !== "ended" && run.stream !== stream) {
+    return false; // it has failed and runs at another engine since
+  }
   return run.phase === "ended" || await tryResume(context, run, target, cacheSource, "move");
 }
 
@@ -167,7 +176,7 @@
     recordFailure(context, run, `resume at ${upstream.record.id}`, LIMIT_REACHED);
     return false;
   }
-  if (!isStillRunning(run)) {
+  if (!isStillRunning(run) || run.stream !== stream) {
     return false;
   }
   if (way === "copy") {
--- a/packages/daemon/src/forwarding/open_generation_exchange.ts
+++ b/packages/daemon/src/forwarding/open_generation_exchange.ts
@@ -40,6 +40,8 @@
 ): UpstreamExchange {
   const { dialect } = context;
   const { request, upstream, backupTarget, resumeFrom, lastEventId } = options;
+  // On a resumable route a caller's id that is not a whole number is not passed on.
+  const ownEventId = request.route.isResumable ? { lastEventId: "none" } as const : {};
   let answer = { status: 0, statusText: "", rawHeaders: [] as readonly string[] };
   let head: AnswerHead | undefined;
   let hasStarted = false;
@@ -58,7 +60,7 @@
       team: request.team,
       ...(backupTarget === undefined ? {} : { copyAddress: backupTarget.record.address }),
       ...(resumeFrom === undefined ? {} : { resumeFrom }),
-      ...(lastEventId === undefined ? {} : { lastEventId }),
+      ...(lastEventId === undefined ? ownEventId : { lastEventId }),
     }),
     body: request.body,
     connectTimeoutMs: FORWARDING_LIMITS.connectTimeoutMs,
--- a/packages/daemon/src/forwarding/record_generation_loss.ts
+++ b/packages/daemon/src/forwarding/record_generation_loss.ts
@@ -39,6 +39,6 @@
     }
   }
   if (firstEventAtMs === undefined) {
-    recordUpstreamLoss(context, request, upstream);
+    run.lossRecorded = recordUpstreamLoss(context, request, upstream);
   }
 }
--- a/packages/daemon/src/forwarding/relay_events.ts
+++ b/packages/daemon/src/forwarding/relay_events.ts
@@ -1,10 +1,11 @@
 import { observePerformance } from "../balancing/mod.ts";
+import { checkEventOrder } from "./check_event_order.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { decideStreamEnd } from "./decide_stream_end.ts";
 import { findBodyFraming } from "./find_body_framing.ts";
 import { findEventId } from "./find_event_id.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
-import type { GenerationRun, GenerationStream } from "./generation_run.ts";
+import type { GenerationRun, GenerationStream, RerunCause } from "./generation_run.ts";
 import type { GenerationHandler, StartFailure } from "./open_generation_exchange.ts";
 import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordStreamClose } from "./record_stream_close.ts";
@@ -24,6 +25,10 @@
   let isWellUnderWay = false;
   let remaining: Uint8Array = new Uint8Array();
   let bytesSinceNewId = 0;
+  let hasFailed = false;
+  let lastReceivedId: number | undefined;
+  /** The events that arrive are ones that another engine has sent already. */
+  let isReplaying = false;
 
   const startAnswer = () => {
     if (head !== undefined && !reply.hasStarted()) {
@@ -36,7 +41,31 @@
       recordStreamClose(context, run, { rawHeaders, failure, remainingBytes: remaining.length });
     }
   };
+  /** Whether an event is to be sent; a resumable stream that has left one out fails instead. */
+  const acceptOrder = (id: number | undefined) => {
+    const knownId = Math.max(lastReceivedId ?? -1, run.lastEventId ?? -1);
+    const order = checkEventOrder(id, knownId < 0 ? undefined : knownId);
+    if (order === "missing") {
+      context.logger.writeEvent("streamSkippedEvents", {
+        request: run.request.requestId,
+        upstream: run.upstream?.record.id ?? "none",
+        expected: knownId + 1,
+        received: id ?? -1,
+      });
+      hasFailed = true;
+      stream.exchange?.abort();
+      handleFailure(`stream goes on with event ${id} after ${knownId}`, "skippedEvent");
+    }
+    if (id !== undefined) {
+      isReplaying = order === "known" && id < knownId;
+      lastReceivedId = order === "next" ? id : lastReceivedId;
+    }
+    return order === "next" && !isReplaying;
+  };
   const receiveEvent = (event: Uint8Array) => {
+    if (hasFailed) {
+      return;
+    }
     const nowMs = context.clock.readMonotonicMs();
     recordFirstEvent(context, run, nowMs);
     if (firstEventAtMs !== undefined) {
@@ -48,11 +77,14 @@
       context.promptParts.recordSound(run.request.partKeys);
     }
     run.lastEventAtMs = nowMs;
+    const id = findEventId(event);
+    if (run.request.route.isResumable && !acceptOrder(id)) {
+      return;
+    }
     if (stream.bufferedEvents !== undefined) {
       stream.bufferedEvents.push(event);
       return;
     }
-    const id = findEventId(event);
     const isDuplicate = id !== undefined && run.lastEventId !== undefined && id <= run.lastEventId;
     if (isDuplicate || run.phase === "ended") {
       return; // it was sent before the generation resumed here, or the run has ended
@@ -62,14 +94,14 @@
     sendEvent(context, run, event);
   };
 
-  const handleFailure = (reason: string) => {
+  const handleFailure = (reason: string, cause: RerunCause = "brokenStream") => {
     stream.closed = "fail";
     stream.handleClose?.();
     if (run.upstream !== undefined && !stream.isDetached) {
       recordGenerationLoss(context, run, run.upstream, { hasHead: true, firstEventAtMs });
     }
     if (run.phase === "running" && !stream.isDetached) {
-      run.restore(reason);
+      run.restore(reason, cause);
     }
   };
 
@@ -148,6 +180,8 @@
     hasFailed: false,
     ...(inFlight.promptTokens > 0 ? { tokensPerMs } : {}),
   });
-  context.metrics.distribution("forwarding.firstPart", nowMs - request.arrivedAtMs);
+  if (run.sentEvents === 0) {
+    context.metrics.distribution("forwarding.firstPart", nowMs - request.arrivedAtMs);
+  }
   context.reportLoadChange();
 }
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -1,26 +1,35 @@
 import { getPauseMs } from "../upstreams/mod.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { decideRestoreRetry } from "./decide_restore_retry.ts";
+import { endInterrupted } from "./end_interrupted.ts";
 import { claimPermit } from "./claim_permit.ts";
 import { findBackupCopy } from "./find_backup_copy.ts";
 import type { BackupCopy } from "./find_backup_copy.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
-import type { GenerationRun } from "./generation_run.ts";
+import type { GenerationRun, RerunCause } from "./generation_run.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
-import { isHeldBack } from "./is_held_back.ts";
 import { resumeGeneration } from "./resume_generation.ts";
 
 /**
- * Resumes a generation from its backup copy after the upstream failed without notice, or ends it
- * with an error. It is never restarted from the beginning, because it may have been executed.
+ * Continues a generation after the upstream failed without notice: resumes it from its backup copy,
+ * or runs it again after the last event if its route allows this, or ends it with an error. Without
+ * the flag of the route it is never run again, because it may have been executed.
  */
 export function restoreGeneration(
   context: ForwardingContext,
   run: GenerationRun,
   reason: string,
+  cause: RerunCause,
 ): void {
   const startMs = context.clock.readMonotonicMs();
   const budget = getServiceBudget(context, run.request.service.name);
+  const giveUpCopy = (detail: string) => {
+    if (!run.runAgain(detail, cause)) {
+      endInterrupted(context, run, detail);
+    }
+  };
+  const canRunAgain = () =>
+    run.decideRecovery({ outcome: "broken", hasCopy: false }) === "runAgain";
   const retryAfter = (delayMs: number) =>
     context.clock.startTimer(delayMs, () => {
       if (run.phase === "switching") {
@@ -29,12 +38,12 @@
     });
   const tryRestore = () => {
     const copy = findBackupCopy(context, run);
-    const isSuspected = isHeldBack(context, run.request) ||
-      context.promptParts.isSuspected(run.request.partKeys);
-    // Without an event there may be no copy, and a faulty engine could start the request again.
-    const hasEvent = run.lastEventId !== undefined;
-    if (copy === undefined || !hasEvent || isSuspected) {
-      endInterrupted(context, run, reason);
+    // Without an event from its engine there may be no copy, and a faulty engine could start the
+    // request again.
+    const hasCopy = run.lastEventId !== undefined && run.inFlight?.isPrefilling === false;
+    const recovery = run.decideRecovery({ outcome: "broken", hasCopy });
+    if (copy === undefined || recovery !== "resumeFromCopy") {
+      giveUpCopy(reason);
       return;
     }
     run.phase = "switching";
@@ -43,6 +52,9 @@
     const elapsedMs = nowMs - startMs;
     const pauseMs = getPauseMs(context.upstreams, copy.upstream.record, nowMs);
     if (pauseMs > 0) {
+      if (run.runAgain(`${reason}; the upstream with the backup copy asks for a pause`, cause)) {
+        return;
+      }
       const endMs = Math.min(
         startMs + FORWARDING_LIMITS.restoreTimeoutMs,
         run.request.deadlineAtMs,
@@ -58,7 +70,9 @@
       retryAfter(pauseMs);
       return;
     }
-    const leftMs = FORWARDING_LIMITS.restoreTimeoutMs - elapsedMs;
+    const leftMs = canRunAgain()
+      ? FORWARDING_LIMITS.movePermitTimeoutMs
+      : FORWARDING_LIMITS.restoreTimeoutMs - elapsedMs;
     const limit = { priority: FORWARDING_LIMITS.resumePriority, waitMs: leftMs, patientMs: leftMs };
     claimPermit(context, { ...limit, upstream: copy.upstream }).then((permit) => {
       if (run.phase !== "switching") {
@@ -71,7 +85,7 @@
       } else if (isPausing) {
         tryRestore();
       } else {
-        endInterrupted(context, run, `${reason}; the backup copy's upstream is at its limit`);
+        giveUpCopy(`${reason}; the backup copy's upstream is at its limit`);
       }
     }).catch((error) => endInterrupted(context, run, `${reason}; ${error}`));
   };
@@ -80,8 +94,14 @@
     resumeGeneration(context, run, {
       ...copy,
       way: "copy",
-      timeoutMs: FORWARDING_LIMITS.restoreTimeoutMs - elapsedMs,
+      timeoutMs: canRunAgain()
+        ? FORWARDING_LIMITS.resumeTimeoutMs
+        : FORWARDING_LIMITS.restoreTimeoutMs - elapsedMs,
       refuse: (resumeFailure, isUnexecuted) => {
+        const detail = `${reason}; resuming from the backup copy failed: ${resumeFailure}`;
+        if (run.runAgain(detail, cause)) {
+          return;
+        }
         const nowMs = context.clock.readMonotonicMs();
         const isRetried = run.phase === "switching" && decideRestoreRetry({
           isUnexecuted,
@@ -91,11 +111,7 @@
           hasBudget: budget.hasRoom(),
         });
         if (!isRetried) {
-          endInterrupted(
-            context,
-            run,
-            `${reason}; resuming from the backup copy failed: ${resumeFailure}`,
-          );
+          endInterrupted(context, run, detail);
           return;
         }
         budget.countRetry();
@@ -105,29 +121,3 @@
   };
   tryRestore();
 }
-
-function endInterrupted(context: ForwardingContext, run: GenerationRun, reason: string): void {
-  const { request, upstream } = run;
-  if (run.phase === "ended") {
-    return; // the caller has disconnected in the meantime
-  }
-  const nowMs = context.clock.readMonotonicMs();
-  if (!request.reply.hasStarted()) {
-    request.reply.refuse(nowMs >= request.deadlineAtMs ? "timeout" : "outcomeUnknown", reason);
-    run.finish("unknown");
-    return;
-  }
-  context.logger.writeEvent("answerCut", {
-    request: request.requestId,
-    upstream: upstream?.record.id ?? "none",
-    upstreamStatus: upstream === undefined
-      ? "none"
-      : context.upstreams.upstreams.get(upstream.record.id)?.status ?? "forgotten",
-    copy: run.inFlight?.copyUpstreamId ?? "none",
-    reason,
-    events: run.sentEvents,
-    ageMs: Math.round(nowMs - request.arrivedAtMs),
-  });
-  request.reply.abort();
-  run.finish("cut");
-}
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -65,8 +65,10 @@
   inFlight.copyUpstreamId = backupTarget?.record.id;
   const formerStream = run.stream;
   const stream = createGenerationStream();
+  run.resumingStream = stream;
   const timer = context.clock.startTimer(options.timeoutMs, () => {
-    stream.exchange?.abort();
+    // Another engine may run it next, so this one has to stop at once.
+    stream.exchange?.abort(request.route.isResumable);
     options.refuse("no response within the resume timeout", false);
   });
   const relay = relayEvents(context, run, stream, (failure) => {
@@ -98,6 +100,7 @@
       }
       run.phase = "running";
       run.stream = stream;
+      run.resumingStream = undefined;
       run.upstream = upstream;
       run.inFlight = inFlight;
       // No event has arrived on this stream; the gap to its first event is measured from here.
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -1,21 +1,24 @@
 import { observePerformance } from "../balancing/mod.ts";
 import type { InFlightRequest, UpstreamCandidate } from "../balancing/mod.ts";
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
-import { decideRetry, hasNotExecuted } from "../retries/mod.ts";
-import { findShortestPause, listUsableUpstreams } from "../upstreams/mod.ts";
+import { hasNotExecuted } from "../retries/mod.ts";
+import { findShortestPause, isUpstreamReachable, listUsableUpstreams } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import { computeMaxWait } from "./compute_max_wait.ts";
+import { computeRerunWaitEnd } from "./compute_rerun_wait_end.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
 import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createLimitedStart } from "./create_limited_start.ts";
 import { createGenerationStream } from "./create_generation_stream.ts";
+import { decideStreamRecovery } from "./decide_stream_recovery.ts";
+import { endInterrupted } from "./end_interrupted.ts";
 import type { WaitQueue } from "./create_wait_queue.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
-import type { GenerationRun } from "./generation_run.ts";
+import type { GenerationRun, RerunCause } from "./generation_run.ts";
 import { offerRequest } from "./offer_request.ts";
 import { isHeldBack } from "./is_held_back.ts";
 import { recordGenerationLoss } from "./record_generation_loss.ts";
@@ -23,6 +26,7 @@
 import { openGenerationExchange } from "./open_generation_exchange.ts";
 import type { StartFailure } from "./open_generation_exchange.ts";
 import { REFUSAL_DETAILS } from "./refusal_details.ts";
+import type { RefusalCode } from "./refusal_details.ts";
 import { restoreGeneration } from "./restore_generation.ts";
 import { relayEvents } from "./relay_events.ts";
 
@@ -36,6 +40,24 @@
   readonly finish: (end: string, run: GenerationRun) => void;
 }
 
+/** A further run of a generation that an engine has run. */
+interface Rerun {
+  readonly cause: RerunCause;
+  readonly reason: string;
+  /** Id of the engine that ran it before. */
+  readonly former: string;
+}
+
+const RERUN_CAUSES = {
+  notSent: "notSent",
+  refused: "refused",
+  failed: "failedResponse",
+  broken: "lostResponse",
+} as const satisfies Record<StartFailure["outcome"], RerunCause>;
+
+/** Lost engines after which a request may be quarantined. */
+const MIN_LOSSES_OF_QUARANTINE = 2;
+
 /** Starts a generation: places it on an upstream, or queues it until one has room. */
 export function runGeneration(
   context: ForwardingContext,
@@ -43,16 +65,31 @@
 ): GenerationRun {
   const { request } = options;
   const budget = getServiceBudget(context, request.service.name);
-  const excluded = new Set<string>();
+  const { isResumable } = request.route;
+  const tokensPerEvent = request.service.engine?.tokensPerEvent ?? 1;
+  const tried = new Set<string>();
   let unexecutedAttempts = 0;
+  let lastFailure: StartFailure | undefined;
+  let isRetryCounted = false;
+  let rerun: Rerun | undefined;
+  let queueEntries = 0;
   let isCounted = request.isCounted;
   const run: GenerationRun = {
     request,
     phase: "waiting",
     upstream: undefined,
     stream: undefined,
+    resumingStream: undefined,
     inFlight: undefined,
-    lastEventId: undefined,
+    formerEvents: isResumable
+      ? Math.min(
+        (request.head.lastEventId ?? -1) + 1,
+        Math.ceil(request.head.maxOutputTokens / tokensPerEvent),
+      )
+      : 0,
+    executedAttempts: 0,
+    lossRecorded: undefined,
+    lastEventId: isResumable ? request.head.lastEventId : undefined,
     sentEvents: 0,
     lastSentAtMs: undefined,
     firstEventMs: 0,
@@ -60,7 +97,52 @@
     lastEventAtMs: context.clock.readMonotonicMs(),
     silenceCheckAtMs: 0,
     isMigrating: false,
-    restore: (reason) => restoreGeneration(context, run, reason),
+    restore: (reason, cause = "brokenStream") => {
+      run.executedAttempts++;
+      lastFailure = undefined;
+      restoreGeneration(context, run, reason, cause);
+    },
+    decideRecovery: (failure) =>
+      decideStreamRecovery({
+        ...failure,
+        isResumable,
+        hasSentEvent: request.reply.hasStarted(),
+        executedAttempts: run.executedAttempts,
+        unexecutedAttempts,
+        maxAttempts: request.route.maxAttempts,
+        hasBudget: budget.hasRoom(),
+        isQuarantined: isHeldBack(context, request),
+        isSuspected: context.promptParts.isSuspected(request.partKeys),
+        leftMs: request.deadlineAtMs - context.clock.readMonotonicMs(),
+      }),
+    runAgain: (reason, cause) => {
+      const failure = { outcome: "broken", hasCopy: false } as const;
+      if (run.phase === "ended" || run.decideRecovery(failure) !== "runAgain") {
+        return false;
+      }
+      startAgain(reason, cause);
+      return true;
+    },
+    leaveDraining: () => {
+      if (run.phase !== "running" || !isResumable) {
+        return false;
+      }
+      run.executedAttempts++;
+      const isAllowed = run.decideRecovery({ outcome: "broken", hasCopy: false }) === "runAgain" &&
+        chooseGenerationUpstream(context, { ...describeChoice(), among: "unlimited" }) !==
+          undefined;
+      if (!isAllowed) {
+        run.executedAttempts--; // it stays on its engine until that ends
+        return false;
+      }
+      context.logger.writeEvent("drainingEngineLeft", {
+        request: request.requestId,
+        upstream: run.upstream?.record.id ?? "none",
+        events: run.sentEvents,
+      });
+      startAgain("the engine drains and no other one has taken over its memory", "draining");
+      return true;
+    },
     finish: (end) => {
       if (run.phase === "ended") {
         return;
@@ -68,6 +150,8 @@
       run.phase = "ended";
       limitedStart.cancel();
       run.stream?.exchange?.abort();
+      run.resumingStream?.exchange?.abort();
+      recordRerunEnd(end);
       context.loads.inFlightRequests.delete(request.requestId);
       context.reportLoadChange();
       options.finish(end, run);
@@ -89,18 +173,15 @@
     context.reportLoadChange();
     const isUnexecuted = hasNotExecuted(failure.outcome);
     unexecutedAttempts += Number(isUnexecuted);
-    excluded.add(upstream.record.id);
-    const decision = decideRetry({
-      kind: request.route.kind,
-      outcome: failure.outcome,
-      executedAttempts: isUnexecuted ? 0 : 1,
-      unexecutedAttempts,
-      maxAttempts: request.route.maxAttempts,
-      hasBudget: budget.hasRoom(),
-      isQuarantined: isHeldBack(context, request),
-      leftMs: request.deadlineAtMs - context.clock.readMonotonicMs(),
-    });
-    if (decision === "retry") {
+    run.executedAttempts += Number(!isUnexecuted);
+    tried.add(upstream.record.id);
+    lastFailure = failure;
+    const recovery = run.decideRecovery({ ...failure, hasCopy: false });
+    if (recovery === "runAgain" && run.executedAttempts > 0) {
+      startAgain(failure.reason, RERUN_CAUSES[failure.outcome]);
+      return;
+    }
+    if (recovery === "runAgain") {
       context.metrics.increment("forwarding.repeats", 1, { outcome: failure.outcome });
       context.logger.writeEvent("requestRepeated", {
         request: request.requestId,
@@ -111,26 +192,63 @@
       start();
       return;
     }
-    if (decision === "relay") {
-      const { status, statusText, rawHeaders, body } = failure;
-      request.reply.sendResponse(status, statusText, rawHeaders, body);
-      run.finish(failure.outcome);
+    if (recovery === "relay") {
+      relayFailure(failure);
       return;
     }
-    if (decision === "notRun") {
+    if (recovery === "notRun") {
       const retryAfterMs = computeServiceRetryAfter(context, request.service.name);
       request.reply.refuse("noUpstreamLeft", failure.reason, retryAfterMs);
       run.finish("notRun");
       return;
     }
-    // The upstream did not rule out execution, so resume from the backup copy if there is one.
-    run.restore(failure.reason);
+    endInterrupted(context, run, failure.reason);
+  };
+  const relayFailure = ({ status, statusText, rawHeaders, body, outcome }: StartFailure) => {
+    request.reply.sendResponse(status, statusText, rawHeaders, body);
+    run.finish(outcome);
+  };
+
+  /** Stops the former run and places the generation on another engine, after its last event. */
+  const startAgain = (reason: string, cause: RerunCause) => {
+    const upstreamId = run.upstream?.record.id ?? "none";
+    tried.add(upstreamId);
+    if (run.stream !== undefined) {
+      run.stream.isDetached = true;
+      run.stream.exchange?.abort(true);
+    }
+    context.loads.inFlightRequests.delete(request.requestId);
+    context.reportLoadChange();
+    // Counted before it is sent, so that the streams of one lost engine do not all pass the budget.
+    budget.countRetry();
+    isRetryCounted = true;
+    recordRerunEnd("runAgain");
+    rerun = { cause, reason, former: upstreamId };
+    run.phase = "switching";
+    const { lossRecorded, executedAttempts } = run;
+    if (lossRecorded === undefined || executedAttempts < MIN_LOSSES_OF_QUARANTINE) {
+      startOrQueue();
+      return;
+    }
+    // The quarantine may hold the request back now; each further run could cost an engine.
+    lossRecorded.then(() => {
+      if (run.phase === "switching") {
+        startOrQueue();
+      }
+    }).catch(options.reportFault);
+  };
+  const recordRerunEnd = (end: string) => {
+    if (rerun !== undefined) {
+      context.metrics.increment("forwarding.reruns", 1, { cause: rerun.cause, end });
+      rerun = undefined;
+    }
   };
 
   const startAttempt = ({ upstream, load }: UpstreamCandidate) => {
     const nowMs = context.clock.readMonotonicMs();
     const { promptTokens, maxOutputTokens, expectedTokens } = request.head;
-    const size = { promptTokens, maxOutputTokens, expectedTokens, producedTokens: 0 };
+    const producedTokens = (run.formerEvents + run.sentEvents) * tokensPerEvent;
+    const size = { promptTokens, maxOutputTokens, expectedTokens, producedTokens };
     const backupTarget = chooseBackupTarget(context, request, upstream, size);
     const inFlight: InFlightRequest = {
       requestId: request.requestId,
@@ -143,9 +261,10 @@
     };
     context.loads.inFlightRequests.set(request.requestId, inFlight);
     context.reportLoadIncrease();
-    if (unexecutedAttempts > 0) {
+    if (unexecutedAttempts > 0 && !isRetryCounted) {
       budget.countRetry();
     }
+    isRetryCounted = false;
     run.phase = "running";
     run.upstream = upstream;
     run.inFlight = inFlight;
@@ -161,11 +280,22 @@
       waitedMs: Math.round(nowMs - request.arrivedAtMs),
       leftMs: Math.round(request.deadlineAtMs - nowMs),
     });
+    if (rerun !== undefined) {
+      context.logger.writeEvent("generationRunAgain", {
+        request: request.requestId,
+        upstream: upstream.record.id,
+        former: rerun.former,
+        afterEvent: run.lastEventId ?? -1,
+        engines: run.executedAttempts,
+        cause: rerun.cause,
+        reason: rerun.reason,
+      });
+    }
     const stream = createGenerationStream();
     run.stream = stream;
     stream.exchange = openGenerationExchange(
       context,
-      { request, upstream, backupTarget, lastEventId: undefined },
+      { request, upstream, backupTarget, lastEventId: run.lastEventId },
       relayEvents(context, run, stream, (failure) => handleStartFailure(upstream, failure)),
     );
   };
@@ -192,29 +322,51 @@
     return {
       request,
       purpose: "start",
-      inFlight: { promptTokens, maxOutputTokens, expectedTokens, producedTokens: 0 },
-      excluded,
+      inFlight: {
+        ...{ promptTokens, maxOutputTokens, expectedTokens },
+        producedTokens: (run.formerEvents + run.sentEvents) * tokensPerEvent,
+      },
+      excluded: listExcluded(context.clock.readMonotonicMs()),
     } as const;
   };
 
   const limitedStart = createLimitedStart({ context, run, describeChoice, startAttempt });
 
+  /** Refuses the request as not executed; ends it as interrupted if an engine may have run it. */
+  const refuse = (end: string, code: RefusalCode, detail: string, retryAfterMs: number) => {
+    if (run.executedAttempts === 0) {
+      request.reply.refuse(code, detail, retryAfterMs);
+      run.finish(end);
+    } else if (lastFailure?.outcome === "failed" && !request.reply.hasStarted()) {
+      relayFailure(lastFailure);
+    } else {
+      endInterrupted(context, run, detail);
+    }
+  };
   const refuseHeldBack = () => {
     const { quarantineMs } = QUARANTINE_DEFAULTS;
-    request.reply.refuse("requestHeldBack", REFUSAL_DETAILS.requestHeldBack, quarantineMs);
-    run.finish("heldBack");
+    refuse("heldBack", "requestHeldBack", REFUSAL_DETAILS.requestHeldBack, quarantineMs);
   };
   const refuseQueued = (detail: string) => {
     if (run.phase !== "waiting") {
       return; // a permit has come in the meantime
     }
-    request.reply.refuse("noRoomInTime", detail, computeRetryAfter(context.random));
-    run.finish("refused");
+    refuse("refused", "noRoomInTime", detail, computeRetryAfter(context.random));
   };
 
-  const listLeft = (nowMs: number) =>
-    listUsableUpstreams(context.upstreams, request.service.name, nowMs)
+  /** Lists the engines tried; after a run, those that are reachable are the last resort. */
+  const listExcluded = (nowMs: number): ReadonlySet<string> => {
+    const isAnyLeft = listUsableUpstreams(context.upstreams, request.service.name, nowMs)
+      .some(({ record }) => !tried.has(record.id));
+    return run.executedAttempts === 0 || isAnyLeft
+      ? tried
+      : new Set([...tried].filter((id) => !isUpstreamReachable(context.upstreams, id, nowMs)));
+  };
+  const listLeft = (nowMs: number) => {
+    const excluded = listExcluded(nowMs);
+    return listUsableUpstreams(context.upstreams, request.service.name, nowMs)
       .filter(({ record }) => !excluded.has(record.id));
+  };
   const areAllLimited = (nowMs: number) => {
     const left = listLeft(nowMs);
     return left.length > 0 &&
@@ -261,7 +413,7 @@
   };
   /** Waits for a permit; is refused at once if none comes in time. */
   const startLimitedOrQueue = async (nowMs: number) => {
-    const waitMs = Math.max(0, computeMaxWait(request) - (nowMs - request.arrivedAtMs));
+    const waitMs = Math.max(0, computeWaitEnd() - nowMs);
     const retryAfterMs = await limitedStart.start(waitMs);
     if (run.phase !== "waiting") {
       return;
@@ -271,29 +423,40 @@
       enqueue(endMs);
       return;
     }
-    request.reply.refuse("limitReached", REFUSAL_DETAILS.limitReached, retryAfterMs);
-    run.finish("limited");
+    refuse("limited", "limitReached", REFUSAL_DETAILS.limitReached, retryAfterMs);
   };
+  const computeWaitEnd = () =>
+    run.executedAttempts > 0
+      ? computeRerunWaitEnd({ ...request, lastSentAtMs: run.lastSentAtMs })
+      : request.arrivedAtMs + computeMaxWait(request);
 
   const enqueue = (nowMs: number) => {
     const { targetMs } = request.route;
-    const waitMs = computeMaxWait(request);
+    const expiresAtMs = computeWaitEnd();
     const { name } = request.service;
-    const pauseMs = findShortestPause(context.upstreams, name, nowMs, excluded) ?? Infinity;
-    const isPauseShort = nowMs + pauseMs < request.arrivedAtMs + waitMs;
-    if (listLeft(nowMs).length === 0 && !isPauseShort) {
+    const pauseMs = findShortestPause(context.upstreams, name, nowMs, tried) ?? Infinity;
+    const isPauseShort = nowMs + pauseMs < expiresAtMs;
+    // Another engine may join within the short wait of a generation that has run.
+    if (run.executedAttempts === 0 && listLeft(nowMs).length === 0 && !isPauseShort) {
       const detail = `service ${name} has no upstream left to try`;
       request.reply.refuse("noUpstreamLeft", detail, computeServiceRetryAfter(context, name));
       run.finish("noUpstreamLeft");
       return;
     }
+    // An entry of an earlier wait may still be in the queue.
+    const entry = ++queueEntries;
+    const hasStarted = request.reply.hasStarted();
     const isAdded = options.waitQueue.add({
-      priority: request.priority,
+      priority: hasStarted ? FORWARDING_LIMITS.resumePriority : request.priority,
       arrivedAtMs: request.arrivedAtMs,
-      targetDeadlineAtMs: request.arrivedAtMs + targetMs,
-      expiresAtMs: request.arrivedAtMs + waitMs,
-      tryPlace,
-      expire: () => refuseQueued("no engine had room within the maximum wait"),
+      targetDeadlineAtMs: hasStarted ? expiresAtMs : request.arrivedAtMs + targetMs,
+      expiresAtMs,
+      tryPlace: () => entry !== queueEntries || tryPlace(),
+      expire: () => {
+        if (entry === queueEntries) {
+          refuseQueued("no engine had room within the maximum wait");
+        }
+      },
     });
     if (!isAdded) {
       refuseQueued("the wait queue of this host is full");
--- a/packages/daemon/src/forwarding/send_event.ts
+++ b/packages/daemon/src/forwarding/send_event.ts
@@ -9,7 +9,8 @@
   run.sentEvents++;
   recordSentTime(context, run);
   if (inFlight !== undefined) {
-    inFlight.producedTokens = run.sentEvents * (request.service.engine?.tokensPerEvent ?? 1);
+    inFlight.producedTokens = (run.formerEvents + run.sentEvents) *
+      (request.service.engine?.tokensPerEvent ?? 1);
   }
   if (!request.reply.sendChunk(event)) {
     context.logger.writeEvent("answerCut", {
--- a/packages/daemon/src/gateway/create_observed_exchange.ts
+++ b/packages/daemon/src/gateway/create_observed_exchange.ts
@@ -73,9 +73,13 @@
     });
     return {
       hasSent: () => exchange.hasSent(),
-      abort: () => {
-        if (hasHead || !exchange.hasSent()) {
+      abort: (mustStop = false) => {
+        if (hasHead || !exchange.hasSent() || mustStop) {
+          lateTimer?.cancel();
           exchange.abort();
+          if (!hasHead && exchange.hasSent()) {
+            options.recordUnread();
+          }
           return;
         }
         if (isGivenUp) {
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -227,6 +227,36 @@
     title: "Upstream says, or no longer says, that it falls over when it refuses too many requests",
     action: "If it lasts, the service needs more upstreams",
   },
+  generationRunAgain: {
+    number: 8070,
+    level: "warn",
+    title: "Resumable generation is run again at another engine, after the event named",
+    action: "If many name the same former engine, check that engine",
+  },
+  generationNotRunAgain: {
+    number: 8071,
+    level: "warn",
+    title: "Resumable generation is not run again; its response ends",
+    action: "engines at maxAttempts: its engines failed; hasBudget false: too many retries",
+  },
+  streamResumedByCaller: {
+    number: 8072,
+    level: "info",
+    title: "Caller resumes a stream after the event named",
+    action: "none; look for the end of its earlier attempt on all hosts",
+  },
+  streamSkippedEvents: {
+    number: 8073,
+    level: "error",
+    title: "Engine left out events of a resumable stream; nothing after the hole is delivered",
+    action: "Check the engine named: it does not continue streams as its route promises",
+  },
+  drainingEngineLeft: {
+    number: 8074,
+    level: "info",
+    title: "Resumable generation leaves its draining engine without its memory",
+    action: "If many do, the engines have too little free memory for migrations",
+  },
   readerChanged: {
     number: 8052,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -130,6 +130,11 @@
     unit: "requests",
     meaning: "Retries of forwarded requests, by tag `outcome` of the previous attempt",
   },
+  "forwarding.reruns": {
+    type: "counter",
+    unit: "runs",
+    meaning: "Runs of resumable generations at a further engine, by tags `cause` and `end`",
+  },
   "forwarding.handovers": {
     type: "counter",
     unit: "requests",
