--- a/packages/daemon/src/forwarding/create_limited_start.ts
+++ b/packages/daemon/src/forwarding/create_limited_start.ts
@@ -4,6 +4,7 @@
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import type { GenerationChoice } from "./choose_generation_upstream.ts";
 import { claimLimitedUpstream } from "./claim_limited_upstream.ts";
+import { FORWARDING_LIMITS } from "./constants.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
 import { isHeldBack } from "./is_held_back.ts";
@@ -43,7 +44,7 @@
       isClaiming = true;
       const result = await claimLimitedUpstream(context, {
         candidates,
-        priority: run.request.priority,
+        priority: run.sentEvents > 0 ? FORWARDING_LIMITS.resumePriority : run.request.priority,
         waitMs,
         patientMs: waitMs,
         receivePending: (pending) => {
