--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -84,6 +84,8 @@
    * engines end 1.5 to 2.1 s after a notice, which may be known 100 ms later.
    */
   drainRerunMs: 1_000,
+  /** The same time for one whose KV cache is being copied, which costs less than a run again. */
+  drainCopyRerunMs: 1_300,
   /** Maximum length of this host's wait queue; generations beyond it are refused. */
   maxQueued: 256,
 } as const;
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -90,11 +90,16 @@
   /** Runs generations again that have not found a way to migrate, before their engine ends. */
   const rerunFrom = (upstreamId: string, nowMs: number) => {
     const upstream = context.upstreams.upstreams.get(upstreamId);
-    const isLate = upstream !== undefined && !upstream.isAbsent &&
-      nowMs - upstream.sinceMs >= FORWARDING_LIMITS.drainRerunMs;
-    let left = isLate ? FORWARDING_LIMITS.maxMigrationsPerUpstream : 0;
+    if (upstream === undefined || upstream.isAbsent) {
+      return;
+    }
+    const drainedMs = nowMs - upstream.sinceMs;
+    let left: number = FORWARDING_LIMITS.maxMigrationsPerUpstream;
     for (const run of [...runs].filter((each) => each.upstream?.record.id === upstreamId)) {
-      left -= Number(left > 0 && run.leaveDraining());
+      const isCopying = run.isMigrating && run.inFlight?.copyUpstreamId !== undefined;
+      const isLate = drainedMs >=
+        (isCopying ? FORWARDING_LIMITS.drainCopyRerunMs : FORWARDING_LIMITS.drainRerunMs);
+      left -= Number(isLate && left > 0 && run.leaveDraining());
     }
   };
   const reportFault = (request: Pick<ForwardedRequest, "requestId" | "reply">, error: unknown) => {
--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -45,6 +45,8 @@
   /** Stream of the engine that is requested to resume it from a copy of its KV cache. */
   resumingStream: GenerationStream | undefined;
   inFlight: InFlightRequest | undefined;
+  /** Ids of the engines that it was sent to; a run again prefers others. */
+  readonly tried: Set<string>;
   /** Events that the caller has received of its earlier attempts, by its own last event id. */
   readonly formerEvents: number;
   /** Engines that failed after they may have run it; a migration does not count. */
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -98,6 +98,9 @@
         ? FORWARDING_LIMITS.resumeTimeoutMs
         : FORWARDING_LIMITS.restoreTimeoutMs - elapsedMs,
       refuse: (resumeFailure, isUnexecuted) => {
+        if (!isUnexecuted) {
+          run.tried.add(copy.upstream.record.id);
+        }
         const detail = `${reason}; resuming from the backup copy failed: ${resumeFailure}`;
         if (run.runAgain(detail, cause)) {
           return;
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -98,6 +98,9 @@
         formerStream.isDetached = true;
         formerStream.exchange?.abort();
       }
+      if (run.upstream !== undefined) {
+        run.tried.add(run.upstream.record.id);
+      }
       run.phase = "running";
       run.stream = stream;
       run.resumingStream = undefined;
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -81,6 +81,7 @@
     stream: undefined,
     resumingStream: undefined,
     inFlight: undefined,
+    tried,
     formerEvents: isResumable
       ? Math.min(
         (request.head.lastEventId ?? -1) + 1,
