--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -90,6 +90,21 @@
       migrateGeneration(context, run, "draining").catch((error) => reportFault(run.request, error));
     }
   };
+  /** Runs generations again that have not found a way to migrate, before their engine ends. */
+  const rerunFrom = (upstreamId: string, nowMs: number) => {
+    const upstream = context.upstreams.upstreams.get(upstreamId);
+    if (upstream === undefined || upstream.isAbsent) {
+      return;
+    }
+    const drainedMs = nowMs - upstream.sinceMs;
+    let left: number = FORWARDING_LIMITS.maxMigrationsPerUpstream;
+    for (const run of [...runs].filter((each) => each.upstream?.record.id === upstreamId)) {
+      const isCopying = run.isMigrating && run.inFlight?.moveUpstreamId !== undefined;
+      const isLate = drainedMs >=
+        (isCopying ? FORWARDING_LIMITS.drainCopyRerunMs : FORWARDING_LIMITS.drainRerunMs);
+      left -= Number(isLate && left > 0 && run.leaveDraining());
+    }
+  };
   const reportFault = (request: Pick<ForwardedRequest, "requestId" | "reply">, error: unknown) => {
     const reason = error instanceof Error ? error.stack ?? error.message : String(error);
     logger.writeEvent("requestFailed", { request: request.requestId, reason });
@@ -114,10 +129,11 @@
 
   const checkRun = (run: GenerationRun, nowMs: number) => {
     const { request } = run;
+    const isUnexecuted = run.phase === "waiting" && run.executedAttempts === 0;
     if (nowMs >= request.deadlineAtMs) {
       if (request.reply.hasStarted()) {
         request.reply.abort();
-      } else if (run.phase === "waiting") {
+      } else if (isUnexecuted) {
         request.reply.refuse(
           "noRoomInTime",
           "deadline exceeded",
@@ -129,7 +145,7 @@
       run.finish("timeout");
       return;
     }
-    if (run.phase === "waiting" && isServiceEvacuated(context.upstreams, request.service.name)) {
+    if (isUnexecuted && isServiceEvacuated(context.upstreams, request.service.name)) {
       const { name } = request.service;
       const detail = `all upstreams of service ${name} lie in evacuated data centres`;
       request.reply.refuse("noUpstreamLeft", detail, computeServiceRetryAfter(context, name));
@@ -166,7 +182,10 @@
         leaving.add(id);
       }
     }
-    leaving.forEach(migrateNext);
+    leaving.forEach((upstreamId) => {
+      migrateNext(upstreamId);
+      rerunFrom(upstreamId, nowMs);
+    });
     evacuationMover.tick(nowMs);
     waitQueue.expireAndPlaceNext(nowMs);
     metrics.gauge("forwarding.running", running);
@@ -355,6 +374,12 @@
       isCounted: handover?.isCounted ?? false,
       reply,
     };
+    if (route.isResumable && head.lastEventId !== undefined) {
+      logger.writeEvent("streamResumedByCaller", {
+        request: requestId,
+        afterEvent: head.lastEventId,
+      });
+    }
     try {
       await forward(request);
     } catch (error) {
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -60,11 +60,13 @@
 ): Promise<boolean> {
   const maxWaitMs = reason === "silent" ? 0 : FORWARDING_LIMITS.maxBackupWaitMs;
   const startMs = context.clock.readMonotonicMs();
+  const { stream } = run;
   for (;;) {
     const copy = findBackupCopy(context, run);
     // A silent stream has no better place, as after its connection is lost; a draining one has.
     const isUsable = reason === "silent" || copy?.upstream.status === "ready";
-    if (run.phase !== "running" || copy === undefined || !isUsable) {
+    const isMoved = run.phase !== "running" || run.stream !== stream;
+    if (isMoved || copy === undefined || !isUsable) {
       return false;
     }
     if (await tryResume(context, run, copy.upstream, copy.source, "copy")) {
@@ -79,13 +81,14 @@
 
 async function migrateCache(context: ForwardingContext, run: GenerationRun): Promise<boolean> {
   const source = run.upstream;
+  const { stream } = run;
   const excluded = new Set<string>();
   for (let tries = 0; tries < FORWARDING_LIMITS.maxMigrationTargets;) {
     if (run.phase !== "running" || source === undefined || run.inFlight === undefined) {
       return run.phase === "ended";
     }
-    if (!isCallable(context, source)) {
-      return false;
+    if (!isCallable(context, source) || run.stream !== stream) {
+      return false; // too late to copy, or it has failed and runs at another engine since
     }
     const target = chooseGenerationUpstream(context, {
       request: run.request,
@@ -117,7 +120,7 @@
   source: Upstream,
   target: Upstream,
 ): Promise<boolean> {
-  const { inFlight, request } = run;
+  const { inFlight, request, stream } = run;
   if (inFlight === undefined) {
     return false;
   }
@@ -147,6 +150,9 @@
     return false;
   }
   const cacheSource = { address: source.record.address, handle: result.handle };
+  if (run.phase !== "ended" && run.stream !== stream) {
+    return false; // it has failed and runs at another engine since
+  }
   return run.phase === "ended" || await tryResume(context, run, target, cacheSource, "move");
 }
 
@@ -178,7 +184,7 @@
     recordFailure(context, run, `resume at ${upstream.record.id}`, LIMIT_REACHED);
     return false;
   }
-  if (!isStillRunning(run)) {
+  if (!isStillRunning(run) || run.stream !== stream) {
     return false;
   }
   if (way === "copy") {
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -66,8 +66,10 @@
   inFlight.copyUpstreamId = backupTarget?.record.id;
   const formerStream = run.stream;
   const stream = createGenerationStream();
+  run.resumingStream = stream;
   const timer = context.clock.startTimer(options.timeoutMs, () => {
-    stream.exchange?.abort();
+    // Another engine may run it next, so this one has to stop at once.
+    stream.exchange?.abort(request.route.isResumable);
     options.refuse("no response within the resume timeout", false);
   });
   const relay = relayEvents(context, run, stream, (failure) => {
@@ -97,8 +99,12 @@
         formerStream.isDetached = true;
         formerStream.exchange?.abort();
       }
+      if (run.upstream !== undefined) {
+        run.tried.add(run.upstream.record.id);
+      }
       run.phase = "running";
       run.stream = stream;
+      run.resumingStream = undefined;
       run.upstream = upstream;
       run.inFlight = inFlight;
       // No event has arrived on this stream; the gap to its first event is measured from here.
