Draw engines by what other hosts place before their reports arrive

Cause: hosts choose within the age of each other's reports. Each took the engine with the minimum cost, or at 80 hosts one within 20% of it: at 69 hosts an engine was chosen by another host within 100 ms in 56% of placements, and up to 16 moves went to one target within 300 ms.

Change: the number of concurrent choices is estimated, the engines that these would fill are computed, and one is drawn in proportion. Plain upstreams likewise. Fleets of up to 21 hosts choose as before.

--- a/bench/src/engines/engine_choices.ts
+++ b/bench/src/engines/engine_choices.ts
@@ -1,4 +1,8 @@
-import { BALANCING_LIMITS, chooseEngine, computeCostTolerance } from "@crocussail/daemon/balancing";
+import {
+  BALANCING_LIMITS,
+  chooseEngine,
+  estimateConcurrentChoices,
+} from "@crocussail/daemon/balancing";
 import type { EngineChoice } from "./engine_load_options.ts";
 
 const LIMITS = {
@@ -17,7 +21,12 @@
   daemon: (candidates, need) =>
     chooseEngine(candidates, {
       ...need,
-      costTolerance: computeCostTolerance(need.hosts),
+      concurrentChoices: estimateConcurrentChoices({
+        hosts: need.hosts,
+        candidates,
+        promptTokens: need.prefillTokens,
+        countDraining: () => 0,
+      }),
       limits: LIMITS,
       memoryShare: need.isMigration ? 1 : BALANCING_LIMITS.plannedMemoryShare,
     }),
--- a/bench/src/policy/parse_bench_options.ts
+++ b/bench/src/policy/parse_bench_options.ts
@@ -13,6 +13,8 @@
   readonly minutes: number;
   /** Runs every fault at every load instead of at 100% only. */
   readonly isFull: boolean;
+  /** Measures only how evenly late loads are used. */
+  readonly isSpreadOnly: boolean;
 }
 
 const DEFAULT_LOADS = "60,85,100,120";
@@ -26,6 +28,7 @@
     options: {
       json: { type: "boolean", default: false },
       full: { type: "boolean", default: false },
+      spread: { type: "boolean", default: false },
       scenario: { type: "string", default: SCENARIOS.map(({ name }) => name).join(",") },
       policy: { type: "string", default: POLICIES.map(({ name }) => name).join(",") },
       load: { type: "string", default: DEFAULT_LOADS },
@@ -36,6 +39,7 @@
   return {
     isJson: values.json,
     isFull: values.full,
+    isSpreadOnly: values.spread,
     scenarios: parseNames(values.scenario, SCENARIOS),
     policies: parseNames(values.policy, POLICIES),
     loads: values.load.split(",").map(parsePositive),
--- a/packages/daemon/src/balancing/constants.ts
+++ b/packages/daemon/src/balancing/constants.ts
@@ -36,16 +36,18 @@
    */
   plannedRemainingShare: 0.6,
   /**
-   * Share by which the cost of a randomly selected engine may exceed the minimum at 80 hosts: hosts
-   * that choose within 10 ms, before they receive each other's reports, must not all select the
-   * same engine. At 8 hosts, the minimum cost alone served more at 1.5 times the load
-   * (`bench:engines`).
+   * Largest fleet in which hosts report to each other directly, so that loads are some 10 ms old.
+   * The upstream with the minimum cost is chosen there: at 8 hosts and 1.5 times the load that
+   * served more than a random choice (`bench:engines`).
    */
-  maxCostTolerance: 0.2,
-  /** Maximum fleet size at which only the engine with the minimum cost is selected. */
-  zeroToleranceHosts: 20,
-  /** Fleet size at which the full cost tolerance applies. */
-  maxToleranceHosts: 80,
+  maxFreshHosts: 21,
+  /**
+   * Times that a request of another host at a plain upstream counts in a large fleet; the inverse is
+   * the share of a difference between upstreams that is corrected within one report's age.
+   */
+  staleRequestFactor: 3,
+  /** Age of a load that a relay has forwarded, in milliseconds. */
+  relayedReportAgeMs: 100,
   /** Factor on an upstream's prefill rate during its slow start. */
   slowStartFactor: 0.5,
 } as const;
--- a/packages/daemon/src/forwarding/choose_generation_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_generation_upstream.ts
@@ -1,7 +1,9 @@
 import {
   BALANCING_LIMITS,
   chooseEngine,
-  computeCostTolerance,
+  computeLoads,
+  computeLoadSpread,
+  estimateConcurrentChoices,
   estimateMemoryTokens,
   estimateRemainingTokens,
   listCandidates,
@@ -49,7 +51,13 @@
 export function chooseGenerationUpstream(
   context: Pick<
     ForwardingContext,
-    "upstreams" | "loads" | "limits" | "clock" | "random" | "countHostsSharingRetryBudget"
+    | "upstreams"
+    | "loads"
+    | "limits"
+    | "clock"
+    | "random"
+    | "metrics"
+    | "countHostsSharingRetryBudget"
   >,
   choice: GenerationChoice,
 ): UpstreamCandidate | undefined {
@@ -71,9 +79,17 @@
     return undefined; // the loads of all hosts need not be summed up
   }
   const candidates = listCandidates(context.loads, usable, nowMs);
+  if (purpose === "start") {
+    recordSpread(context, service.name, candidates);
+  }
   return chooseEngine(candidates, {
     random: context.random,
-    costTolerance: computeCostTolerance(context.countHostsSharingRetryBudget()),
+    concurrentChoices: estimateConcurrentChoices({
+      hosts: context.countHostsSharingRetryBudget(),
+      candidates,
+      promptTokens: choice.inFlight.promptTokens,
+      countDraining: () => countDrainingGenerations(context, service.name, nowMs),
+    }),
     limits: service.engine,
     prefillTokens: purpose === "start" ? choice.inFlight.promptTokens : 0,
     outputTokens: purpose === "copy" ? 0 : estimateRemainingTokens(choice.inFlight),
@@ -86,6 +102,33 @@
   });
 }
 
+/** Records how evenly the engines of a service are used, as this host knows it. */
+function recordSpread(
+  { metrics }: Pick<ForwardingContext, "metrics">,
+  service: string,
+  candidates: readonly UpstreamCandidate[],
+): void {
+  const { spread, idleShare } = computeLoadSpread(candidates.map(({ load }) => load.inFlight));
+  metrics.gauge("balancing.spread", spread, { service });
+  metrics.gauge("balancing.idle", idleShare, { service });
+}
+
+/** Counts the generations of all hosts on upstreams of a service that drain. */
+function countDrainingGenerations(
+  { upstreams, loads }: Pick<ForwardingContext, "upstreams" | "loads">,
+  service: string,
+  nowMs: number,
+): number {
+  const draining = [...upstreams.upstreams.values()].filter(({ record, status }) =>
+    record.service === service && status === "leaving"
+  );
+  if (draining.length === 0) {
+    return 0;
+  }
+  const all = computeLoads(loads, nowMs);
+  return draining.reduce((sum, { record }) => sum + (all.get(record.id)?.inFlight ?? 0), 0);
+}
+
 /** Time left for the first token to meet the target; infinite once the target has passed. */
 function computeFirstTokenMs(request: ForwardedRequest, nowMs: number): number {
   const leftMs = request.arrivedAtMs + request.route.targetMs - nowMs;
--- a/packages/daemon/src/forwarding/choose_plain_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_plain_upstream.ts
@@ -1,4 +1,9 @@
-import { chooseServiceUpstream, listCandidates } from "../balancing/mod.ts";
+import {
+  chooseServiceUpstream,
+  computeLocalLoads,
+  countRequestsElsewhere,
+  listCandidates,
+} from "../balancing/mod.ts";
 import type { UpstreamCandidate } from "../balancing/mod.ts";
 import type { PendingPermit } from "../upstream_limits/mod.ts";
 import { isSameIncarnation, listUsableUpstreams } from "../upstreams/mod.ts";
@@ -72,7 +77,12 @@
       load.inFlight < upstream.record.slots
     );
     const preferred = withRoom.length > 0 || limited.length > 0 ? withRoom : unlimited;
-    const chosen = chooseServiceUpstream(preferred, random)?.upstream;
+    const choose = (among: readonly UpstreamCandidate[]) => {
+      const hosts = context.countHostsSharingRetryBudget();
+      const elsewhere = countRequestsElsewhere(hosts, among, computeLocalLoads(loads));
+      return chooseServiceUpstream(among, random, elsewhere)?.upstream;
+    };
+    const chosen = choose(preferred);
     const unconfirmed = limited.filter(({ upstream }) => limits.isUnconfirmed(upstream.record));
     if (chosen !== undefined && unconfirmed.length === 0) {
       return { type: "placed", upstream: chosen };
@@ -93,7 +103,7 @@
       hasEnded: request.reply.hasEnded,
     });
     if (result.type === "refused") {
-      const other = chosen ?? chooseServiceUpstream(unlimited, random)?.upstream;
+      const other = chosen ?? choose(unlimited);
       return other === undefined
         ? { type: "limited", retryAfterMs: result.retryAfterMs }
         : { type: "placed", upstream: other };
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -83,6 +83,18 @@
     unit: "lines",
     meaning: "Dropped log lines: too many of one event in a second, or a stalled reader",
   },
+  "balancing.spread": {
+    type: "gauge",
+    unit: "ratio",
+    meaning:
+      "Most generations on a usable engine divided by the mean, as this host knew it when it last placed one, by tag `service`",
+  },
+  "balancing.idle": {
+    type: "gauge",
+    unit: "ratio",
+    meaning:
+      "Share of the usable engines without a generation, as this host knew it when it last placed one, by tag `service`",
+  },
   "forwarding.answers": {
     type: "counter",
     unit: "requests",
