Keep the cold time of each upstream

Cause: an upstream that is cold crashes under much more than a given rate, and the table of upstreams does not know which upstreams are cold.

Services get a cold rate and a cold start time (cold_per_s, cold_start_s; no rate is no bound). An upstream gets the end of its cold time, from records of its start with a higher sequence, and the time at which this host first saw its start. markDataCentreCold is for the end of an evacuation.

Result: nothing reads the new fields yet. Tests of upstreams and settings pass.

--- a/bench/src/engines/run_engine_load.ts
+++ b/bench/src/engines/run_engine_load.ts
@@ -259,7 +259,15 @@
     ...{ id, service: "llm", address: "10.0.0.1:1", dataCentre: "a", slots: 24 },
     ...{ isLeaving: false, slowForMs: 0, startedAt: 1, sequence: 0 },
   };
-  return { record, status: "ready" as const, sinceMs: 0, isAbsent: false, slowUntilMs: 0 };
+  return {
+    record,
+    status: "ready" as const,
+    sinceMs: 0,
+    isAbsent: false,
+    slowUntilMs: 0,
+    coldUntilMs: -Infinity,
+    startSeenMs: -Infinity,
+  };
 }
 
 function tallyRequests(requests: readonly Request[]): EngineLoadFigures {
--- a/packages/daemon/src/balancing/choose_engine_test.ts
+++ b/packages/daemon/src/balancing/choose_engine_test.ts
@@ -27,6 +27,8 @@
     sinceMs: 0,
     isAbsent: false,
     slowUntilMs: 0,
+    coldUntilMs: Number.NEGATIVE_INFINITY,
+    startSeenMs: Number.NEGATIVE_INFINITY,
   },
   load: {
     inFlight: 2,
--- a/packages/daemon/src/routes/route_settings.ts
+++ b/packages/daemon/src/routes/route_settings.ts
@@ -20,6 +20,13 @@
   readonly engine: EngineLimits | undefined;
   /** Connections that an upstream accepts from all hosts together; it resets further ones. */
   readonly maxConnections: number;
+  /**
+   * Requests a second from all hosts together that an upstream withstands while it is cold; 0 for no
+   * bound.
+   */
+  readonly coldPerSecond: number;
+  /** Time after its start for which an upstream is cold, in milliseconds. */
+  readonly coldStartMs: number;
 }
 
 /** A team that owns keys. */
--- a/packages/daemon/src/upstreams/apply_upstream_record.ts
+++ b/packages/daemon/src/upstreams/apply_upstream_record.ts
@@ -19,7 +19,8 @@
     known.record.address === record.address;
   const status = record.isLeaving ? "leaving" : "ready";
   if (known !== undefined && isSameIncarnation && known.status === status) {
-    state.upstreams.set(record.id, { ...known, record, isAbsent: false });
+    const coldUntilMs = computeColdUntil(known, record, nowMs);
+    state.upstreams.set(record.id, { ...known, record, isAbsent: false, coldUntilMs });
     return undefined;
   }
   // An upstream that reported that it drains cannot become ready again in the same incarnation; one
@@ -32,12 +33,16 @@
   const slowUntilMs = isSameIncarnation && known !== undefined
     ? known.slowUntilMs
     : nowMs + record.slowForMs;
+  const isPastStart = record.slowForMs === 0 && record.sequence > 1;
+  const former = isSameIncarnation ? known : undefined;
   const upstream: Upstream = {
     record,
     status,
     sinceMs: nowMs,
     isAbsent: false,
     slowUntilMs,
+    coldUntilMs: computeColdUntil(former, record, nowMs),
+    startSeenMs: former?.startSeenMs ?? (isPastStart ? Number.NEGATIVE_INFINITY : nowMs),
   };
   state.upstreams.set(record.id, upstream);
   if (known !== undefined && !isSameIncarnation) {
@@ -45,3 +50,19 @@
   }
   return status === "leaving" ? upstream : undefined;
 }
+
+/**
+ * Computes the end of the cold time. A record that is read again keeps it, because the time left is
+ * that of its write; of several ends the later one counts.
+ */
+function computeColdUntil(
+  known: Upstream | undefined,
+  record: UpstreamRecord,
+  nowMs: number,
+): number {
+  const knownUntilMs = known?.coldUntilMs ?? Number.NEGATIVE_INFINITY;
+  const isLater = known === undefined || record.sequence > known.record.sequence;
+  return isLater && record.slowForMs > 0
+    ? Math.max(knownUntilMs, nowMs + record.slowForMs)
+    : knownUntilMs;
+}
--- a/packages/daemon/src/upstreams/is_restored_record_test.ts
+++ b/packages/daemon/src/upstreams/is_restored_record_test.ts
@@ -23,6 +23,8 @@
     sinceMs: RESTORED_AT_MS - 1,
     isAbsent: true,
     slowUntilMs: 0,
+    coldUntilMs: Number.NEGATIVE_INFINITY,
+    startSeenMs: Number.NEGATIVE_INFINITY,
   };
   const check = (
     change: Partial<Upstream>,
--- a/packages/daemon/src/upstreams/upstream_state.ts
+++ b/packages/daemon/src/upstreams/upstream_state.ts
@@ -18,6 +18,13 @@
   readonly isAbsent: boolean;
   /** Monotonic time at which its slow start ends. */
   readonly slowUntilMs: number;
+  /** Monotonic time until which it has been said to be cold; in the past if it has not. */
+  readonly coldUntilMs: number;
+  /**
+   * Monotonic time at which this host first saw this start, from which the service's cold start
+   * counts; negative infinity if the first record said that its cold time is over.
+   */
+  readonly startSeenMs: number;
 }
 
 /** A pause that one incarnation of an upstream has asked for. */
--- a/packages/daemon/src/upstreams/upstream_state_test.ts
+++ b/packages/daemon/src/upstreams/upstream_state_test.ts
@@ -5,8 +5,11 @@
 import { UPSTREAM_LIMITS } from "./constants.ts";
 import { createUpstreamState } from "./create_upstream_state.ts";
 import { expireUpstreams } from "./expire_upstreams.ts";
+import { getColdUntil } from "./get_cold_until.ts";
 import { listAbsentUpstreams } from "./list_absent_upstreams.ts";
 import { listUsableUpstreams } from "./list_usable_upstreams.ts";
+import { markDataCentreCold } from "./mark_data_centre_cold.ts";
+import { markUpstreamCold } from "./mark_upstream_cold.ts";
 import { markUpstreamUnreachable } from "./mark_upstream_unreachable.ts";
 import { markUpstreamLeaving } from "./mark_upstream_leaving.ts";
 import type { UpstreamRecord } from "./upstream_record.ts";
@@ -175,3 +178,75 @@
     expect(state.upstreams.size).to.equal(0);
   });
 });
+
+describe("cold time of an upstream", () => {
+  const COLD_START_MS = 1_000;
+  const createWith = (change: Partial<UpstreamRecord>, nowMs: number) => {
+    const state = createUpstreamState();
+    applyUpstreamRecord(state, createRecord(change), nowMs);
+    return state;
+  };
+  const getEnd = (state: ReturnType<typeof createUpstreamState>) => {
+    const upstream = state.upstreams.get("u1");
+    return upstream === undefined ? undefined : getColdUntil(upstream, COLD_START_MS);
+  };
+
+  it("is the cold start after this host first saw a start, which may be in no record yet", () => {
+    expect(getEnd(createWith({ sequence: 1 }, 50))).to.equal(1_050);
+    expect(getEnd(createWith({ sequence: 0 }, 50))).to.equal(1_050);
+    expect(getEnd(createWith({ sequence: 1, slowForMs: 1_400 }, 50))).to.equal(1_450);
+  });
+
+  it("does not begin when a host that has just started reads an upstream that runs for long", () => {
+    expect(getEnd(createWith({ sequence: 7 }, 50))).to.equal(Number.NEGATIVE_INFINITY);
+  });
+
+  it("begins again by a later record of the same start, as an upstream may become cold anew", () => {
+    const state = createWith({ sequence: 7 }, 0);
+    applyUpstreamRecord(state, createRecord({ sequence: 8, slowForMs: 900 }), 5_000);
+    expect(getEnd(state)).to.equal(5_900);
+  });
+
+  it("is not prolonged by a second reading of the same record, whose time left is that of its write", () => {
+    const state = createWith({ sequence: 7, slowForMs: 900 }, 5_000);
+    const first = getEnd(state);
+    applyUpstreamRecord(state, createRecord({ sequence: 7, slowForMs: 900 }), 8_000);
+    expect(getEnd(state)).to.equal(first);
+  });
+
+  it("is not shortened by a record that says less, as the later end counts", () => {
+    const state = createWith({ sequence: 7, slowForMs: 900 }, 5_000);
+    applyUpstreamRecord(state, createRecord({ sequence: 8, slowForMs: 10 }), 5_100);
+    expect(getEnd(state)).to.equal(6_000);
+  });
+
+  it("starts anew with a later incarnation, and ends with the former one", () => {
+    const state = createWith({ sequence: 7, slowForMs: 60_000 }, 0);
+    applyUpstreamRecord(state, createRecord({ startedAt: 2, sequence: 1 }), 500);
+    expect(getEnd(state)).to.equal(1_500);
+  });
+
+  it("is kept while an upstream leaves, as its running requests still need calls", () => {
+    const state = createWith({ sequence: 7, slowForMs: 900 }, 0);
+    applyUpstreamRecord(state, createRecord({ sequence: 8, isLeaving: true }), 100);
+    expect(getEnd(state)).to.equal(1_000);
+  });
+
+  it("follows what another host reports of this start only, and never to an earlier end", () => {
+    const state = createWith({ sequence: 7 }, 0);
+    markUpstreamCold(state, { id: "u1", startedAt: 2 }, 9_000);
+    expect(getEnd(state)).to.equal(Number.NEGATIVE_INFINITY);
+    markUpstreamCold(state, { id: "u1", startedAt: 1 }, 4_000);
+    markUpstreamCold(state, { id: "u1", startedAt: 1 }, 3_000);
+    markUpstreamCold(state, { id: "u9", startedAt: 1 }, 3_000);
+    expect(getEnd(state)).to.equal(4_000);
+  });
+
+  it("covers all upstreams of a data centre whose evacuation is withdrawn, and no others", () => {
+    const state = createWith({ sequence: 7 }, 0);
+    applyUpstreamRecord(state, createRecord({ id: "u2", dataCentre: "b", sequence: 7 }), 0);
+    markDataCentreCold(state, "a", 8_000);
+    expect(getEnd(state)).to.equal(8_000);
+    expect(state.upstreams.get("u2")?.coldUntilMs).to.equal(Number.NEGATIVE_INFINITY);
+  });
+});
