--- a/packages/daemon/src/adapters/deployment_dialect.ts
+++ b/packages/daemon/src/adapters/deployment_dialect.ts
@@ -52,6 +52,8 @@
    * where it names none or no number.
    */
   readonly refusalsPerSecond: number | "unreadable" | undefined;
+  /** Time for which it is still cold, in milliseconds; 0 if it is warm or does not say. */
+  readonly coldMs: number;
   /** Headers of the response for the caller, names and values alternating. */
   readonly headers: readonly string[];
 }
