Bound the requests to cold upstreams by permits

Cause: a service with cold_per_s has upstreams that crash under more than 1.5 times that rate plus 5 requests a second while cold.

The gateway takes cold times from records, responses, reports and first sights, and reports what it has read or been told by a response. A request for a permit carries the rate and the time left. A refused caller is told no later time than the end of the cold time and a second. An owner no longer replaces a later start by an earlier one, which would have granted all that wait.

--- a/packages/daemon/src/forwarding/choose_plain_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_plain_upstream.ts
@@ -94,9 +94,13 @@
     });
     if (result.type === "refused") {
       const other = chosen ?? chooseServiceUpstream(unlimited, random)?.upstream;
-      return other === undefined
-        ? { type: "limited", retryAfterMs: result.retryAfterMs }
-        : { type: "placed", upstream: other };
+      if (other === undefined) {
+        return { type: "limited", retryAfterMs: result.retryAfterMs };
+      }
+      if (isLimited(other)) {
+        continue; // it has become cold while the owner of the other limit was asked
+      }
+      return { type: "placed", upstream: other };
     }
     const { record } = result.upstream;
     const still = listUsableUpstreams(
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -14,6 +14,7 @@
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
 import { createActiveSettings } from "./create_active_settings.ts";
+import { createColdNotices } from "./create_cold_notices.ts";
 import { createGatewayAnswers } from "./create_gateway_answers.ts";
 import { createGatewayListeners } from "./create_gateway_listeners.ts";
 import { createObservedExchange } from "./create_observed_exchange.ts";
@@ -108,7 +109,7 @@
     unreachableServices: reachability.listUnreachable().slice(0, HOST_LIMITS.maxReportedServices),
     protocolVersion: PROTOCOL_VERSION,
     evacuations: [],
-    cold: [],
+    cold: cold.listReported(reading.isReader()),
     waiting: [],
   });
   const hosts = createFleetHosts({
@@ -126,6 +127,7 @@
       const sentAtMs = clock.readMonotonicMs() - ageMs;
       loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
       applyReportedUpstreams(upstreams, reading, { report, ageMs }, clock.readMonotonicMs());
+      cold.acceptReport(report, ageMs);
       limits.acceptReport(report, ageMs);
       brittle.acceptReport(report, ageMs);
       versions.acceptVersion(report.settingsVersion);
@@ -148,7 +150,16 @@
     state: upstreams.state,
     hosts,
   });
+  const cold = createColdNotices({
+    clock,
+    logger,
+    state: upstreams.state,
+    getService: (name) => readSettings()?.services.get(name),
+    hosts,
+  });
   const limits = createUpstreamLimits({
+    getCold: cold.getCold,
+    listCold: cold.listCold,
     clock,
     random,
     logger,
@@ -208,6 +219,9 @@
       if (signals.pauseMs > 0) {
         pauses.recordPause(upstream, signals.pauseMs);
       }
+      if (signals.coldMs > 0) {
+        cold.recordSignal(upstream, signals.coldMs);
+      }
       if (signals.limitPerSecond !== "unreadable") {
         limits.recordObservation(upstream.record, {
           perSecond: signals.limitPerSecond,
@@ -392,7 +406,7 @@
       await hosts.start();
       options.feed.start({
         applySettings: settings.apply,
-        applyUpstream: upstreams.applyRecord,
+        applyUpstream: (record) => cold.observeRecord(record, () => upstreams.applyRecord(record)),
         removeUpstream: upstreams.removeRecord,
         applyUpstreamList: upstreams.applyList,
         recordUpstreamsRead: (readAtMs) => {
--- a/packages/daemon/src/gateway/create_upstream_reading.ts
+++ b/packages/daemon/src/gateway/create_upstream_reading.ts
@@ -24,6 +24,8 @@
   computeReadDelay(): number;
   /** Whether this host knows all changes up to a short time ago, from whomever. */
   isConfirmed(): boolean;
+  /** Whether this host reads for the fleet. */
+  isReader(): boolean;
   /** Age of what this host has read, if it reads for the fleet; null otherwise. */
   computeReportedAge(): number | null;
   /** Whether this host reads for the fleet and has to report before its next regular report. */
@@ -82,6 +84,7 @@
         : Math.max(0, drainMs * share - (clock.readMonotonicMs() - readAtMs));
     },
     isConfirmed: () => computeAge() <= drainMs * GATEWAY_LIMITS.maxAgeShareOfDrain,
+    isReader: () => computeRank() >= 0,
     computeReportedAge: () => {
       const ageMs = Math.round(clock.readMonotonicMs() - readAtMs);
       if (computeRank() < 0 || ageMs > HOST_LIMITS.upstreamReportMs) {
--- a/packages/daemon/src/upstream_limits/constants.ts
+++ b/packages/daemon/src/upstream_limits/constants.ts
@@ -12,6 +12,25 @@
   confirmMs: 5_000,
   /** Time for which unused permits are kept; one is always kept. */
   keptMs: 500,
+  /**
+   * Share of its cold rate that the owner of a cold upstream grants. In any second two owners cause
+   * 2 + 4/3 rate (1 + d) arrivals, d being the time from a grant to its arrival, of the allowed
+   * 1.5 rate + 5.
+   */
+  coldRateShare: 2 / 3,
+  /** Unused permits that are kept for a cold upstream. */
+  coldKept: 1,
+  /**
+   * Time between two refills after which none is kept for a cold upstream: its owner checks it each
+   * tenth of a second, so it was frozen.
+   */
+  coldGapMs: 1_000,
+  /** Longest cold time that a request for a permit can tell. */
+  maxToldColdMs: 60_000,
+  /** Time after the end of a cold time over which the callers refused meanwhile return. */
+  coldReturnSpreadMs: 1_000,
+  /** Protocol version of the builds that know cold times. */
+  coldProtocolVersion: 1,
   /**
    * Time after its start in which a host grants nothing: it may not know yet that another one owns
    * the upstream's limit, or what was granted before.
--- a/packages/daemon/src/upstream_limits/create_permit_client.ts
+++ b/packages/daemon/src/upstream_limits/create_permit_client.ts
@@ -29,6 +29,8 @@
   readonly incarnation: string;
   readonly owner: Pick<PermitOwner, "requestPermit" | "cancelPermit">;
   readonly findOwner: (upstreamId: string) => string;
+  /** Whether a request to the upstream needs a permit, which may end while one is requested. */
+  readonly hasLimit: (upstream: UpstreamIncarnation) => boolean;
   readonly sendRequest: (
     host: string,
     upstream: UpstreamIncarnation,
@@ -149,6 +151,11 @@
         giveUp();
         return;
       }
+      if (!options.hasLimit(upstream)) {
+        withdraw();
+        handleResult({ type: "granted" });
+        return;
+      }
       const current = options.findOwner(upstream.id);
       isRedirected = false;
       if (current !== owner) {
--- a/packages/daemon/src/upstream_limits/create_permit_owner.ts
+++ b/packages/daemon/src/upstream_limits/create_permit_owner.ts
@@ -2,8 +2,9 @@
 import { refillPermits } from "./refill_permits.ts";
 import { computePermitWait } from "./compute_permit_wait.ts";
 import { PERMIT_LIMITS } from "./constants.ts";
-import type { LimitTable, UpstreamIncarnation } from "./create_limit_table.ts";
+import type { UpstreamIncarnation } from "./create_limit_table.ts";
 import { createPermitState } from "./create_permit_state.ts";
+import type { PermitRate } from "./decide_permit_rate.ts";
 import { decidePermits } from "./decide_permits.ts";
 import type { PermitEffect } from "./permit_effect.ts";
 import type { PermitEvent } from "./permit_event.ts";
@@ -20,12 +21,21 @@
 /** Options of {@link createPermitOwner}. */
 export interface PermitOwnerOptions {
   readonly clock: Clock;
-  readonly table: Pick<LimitTable, "getLimit">;
+  /** Returns the rate of the whole fleet for an upstream; undefined if it has no limit. */
+  readonly getRate: (upstream: UpstreamIncarnation) => PermitRate | undefined;
   readonly localHost: string;
   /** Finds the host that owns an upstream's limit in this host's view. */
   readonly findOwner: (upstreamId: string) => string;
   /** Share of a limit that this host may grant now. */
   readonly computeShare: () => number;
+  /** Called when the ownership of a cold upstream ends, with the permits granted and refused. */
+  readonly recordColdEnd: (upstream: UpstreamIncarnation, counts: PermitCounts) => void;
+}
+
+/** Answers that an owner has given for one upstream. */
+export interface PermitCounts {
+  readonly granted: number;
+  readonly refused: number;
 }
 
 /** Grants the permits of the upstreams whose limit this host owns. */
@@ -39,6 +49,8 @@
   cancelPermit(upstreamId: string, key: string): void;
   /** Starts or ends the ownership of a limit, and applies a changed one to what waits. */
   refreshLimit(upstream: UpstreamIncarnation): void;
+  /** Lists the upstreams whose limit this host owns. */
+  listOwned(): UpstreamIncarnation[];
   stop(): void;
 }
 
@@ -47,24 +59,28 @@
   readonly permits: PermitState;
   readonly answers: Map<string, (answer: PermitAnswer) => void>;
   timer: Timer | undefined;
+  isCold: boolean;
+  granted: number;
+  refused: number;
 }
 
 /** Creates the owner of limits. What it granted before it became one is unknown to it. */
 export function createPermitOwner(options: PermitOwnerOptions): PermitOwner {
-  const { clock, table } = options;
+  const { clock, getRate } = options;
   const settledAtMs = clock.readMonotonicMs() + PERMIT_LIMITS.settleMs;
   const owned = new Map<string, OwnedLimit>();
   /** Final answers by key, in the order in which they were given. */
   const answered = new Map<string, { readonly answer: PermitAnswer; readonly atMs: number }>();
 
-  const computeRate = (perSecond: number) =>
-    Math.max(perSecond, PERMIT_LIMITS.minPerSecond) * options.computeShare();
+  const computeRate = ({ perSecond }: PermitRate) => perSecond * options.computeShare();
 
   const sendAnswer = (limit: OwnedLimit, answer: PermitAnswer) => {
     const send = limit.answers.get(answer.key);
     if (answer.type !== "wait") {
       limit.answers.delete(answer.key);
       recordAnswer(answer);
+      limit.granted += Number(answer.type === "grant");
+      limit.refused += Number(answer.type === "refuse");
     }
     send?.(answer);
   };
@@ -84,14 +100,17 @@
   const endOwnership = (limit: OwnedLimit, createAnswer: (key: string) => PermitAnswer) => {
     limit.timer?.cancel();
     owned.delete(limit.upstream.id);
+    if (limit.isCold && limit.granted + limit.refused > 0) {
+      options.recordColdEnd(limit.upstream, limit);
+    }
     [...limit.answers.keys()].forEach((key) => sendAnswer(limit, createAnswer(key)));
   };
   const isOwner = (upstreamId: string) => options.findOwner(upstreamId) === options.localHost;
 
   const handleEvent = (limit: OwnedLimit, event: PermitEvent) => {
     const { upstream, permits } = limit;
-    const perSecond = table.getLimit(upstream);
-    if (perSecond === undefined) {
+    const rate = getRate(upstream);
+    if (rate === undefined) {
       endOwnership(limit, (key) => ({ type: "grant", key }));
       return;
     }
@@ -101,7 +120,8 @@
       return;
     }
     const nowMs = clock.readMonotonicMs();
-    refillPermits(permits, computeRate(perSecond), nowMs);
+    limit.isCold ||= rate.isCold;
+    refillPermits(permits, computeRate(rate), nowMs, rate.isCold);
     decidePermits(permits, event, nowMs).forEach((effect) => sendAnswer(limit, effect));
     limit.timer?.cancel();
     limit.timer = undefined;
@@ -114,9 +134,10 @@
     }
   };
 
-  const openLimit = (upstream: UpstreamIncarnation, perSecond: number): OwnedLimit => {
+  const openLimit = (upstream: UpstreamIncarnation, rate: PermitRate): OwnedLimit => {
     const known = owned.get(upstream.id);
-    if (known?.upstream.startedAt === upstream.startedAt) {
+    // A host that has not seen the latest start yet sends its request to that process as well.
+    if (known !== undefined && known.upstream.startedAt >= upstream.startedAt) {
       return known;
     }
     if (known !== undefined) {
@@ -125,9 +146,12 @@
     const startMs = Math.max(clock.readMonotonicMs(), settledAtMs);
     const limit: OwnedLimit = {
       upstream,
-      permits: createPermitState(computeRate(perSecond), startMs),
+      permits: createPermitState(computeRate(rate), startMs),
       answers: new Map(),
       timer: undefined,
+      isCold: rate.isCold,
+      granted: 0,
+      refused: 0,
     };
     owned.set(upstream.id, limit);
     return limit;
@@ -140,8 +164,8 @@
         answer(former);
         return;
       }
-      const perSecond = table.getLimit(upstream);
-      if (perSecond === undefined) {
+      const rate = getRate(upstream);
+      if (rate === undefined) {
         answer({ type: "grant", key });
         return;
       }
@@ -150,7 +174,7 @@
         return;
       }
       const nowMs = clock.readMonotonicMs();
-      const limit = openLimit(upstream, perSecond);
+      const limit = openLimit(upstream, rate);
       limit.answers.set(key, answer);
       handleEvent(limit, {
         type: "request",
@@ -171,14 +195,15 @@
       }
     },
     refreshLimit: (upstream) => {
-      const perSecond = table.getLimit(upstream);
-      const limit = perSecond !== undefined && isOwner(upstream.id)
-        ? openLimit(upstream, perSecond)
+      const rate = getRate(upstream);
+      const limit = rate !== undefined && isOwner(upstream.id)
+        ? openLimit(upstream, rate)
         : owned.get(upstream.id);
       if (limit !== undefined) {
         handleEvent(limit, { type: "tick" });
       }
     },
+    listOwned: () => [...owned.values()].map(({ upstream }) => upstream),
     stop: () => owned.forEach(({ timer }) => timer?.cancel()),
   };
 }
--- a/packages/daemon/src/upstream_limits/create_upstream_limits.ts
+++ b/packages/daemon/src/upstream_limits/create_upstream_limits.ts
@@ -2,12 +2,15 @@
 import { rankByRendezvous } from "../common/rank_by_rendezvous.ts";
 import type { FleetHosts, HostReport } from "../fleet_hosts/mod.ts";
 import { computeOwnerShare } from "./compute_owner_share.ts";
+import type { ColdTime } from "./cold_time.ts";
 import { PERMIT_LIMITS } from "./constants.ts";
+import { createColdTable } from "./create_cold_table.ts";
 import { createLimitTable } from "./create_limit_table.ts";
 import type { LimitTable, UpstreamIncarnation } from "./create_limit_table.ts";
 import { createPermitClient } from "./create_permit_client.ts";
 import type { PendingPermit, PermitResult } from "./create_permit_client.ts";
 import { createPermitOwner } from "./create_permit_owner.ts";
+import { decidePermitRate } from "./decide_permit_rate.ts";
 import type { LimitObservation } from "./limit_observation.ts";
 import { permitMessageSchema } from "./permit_message_schema.ts";
 import type { PermitMessage } from "./permit_message_schema.ts";
@@ -25,12 +28,24 @@
     FleetHosts,
     "listLive" | "countRecent" | "sendMessage" | "subscribeMessages" | "scheduleUrgentReport"
   >;
+  /** Returns the cold time of an upstream whose service has a cold rate; undefined if it is warm. */
+  readonly getCold: (upstreamId: string) => ColdTime | undefined;
+  /** Lists the upstreams that are cold, of services with a cold rate. */
+  readonly listCold: () => UpstreamIncarnation[];
   /** Whether this host is draining and owns no limit any more. */
   readonly isLeaving: () => boolean;
 }
 
-/** Keeps the limits that upstreams name for the requests of all hosts together. */
-export interface UpstreamLimits extends Pick<LimitTable, "getLimit"> {
+/**
+ * Keeps the limits of upstreams for the requests of all hosts together: those that they name, and the
+ * cold rate of their service while they are cold.
+ */
+export interface UpstreamLimits {
+  /**
+   * Returns the requests a second that an incarnation takes, the smaller of its named limit and its
+   * cold rate; undefined if requests to it need no permit.
+   */
+  getLimit: LimitTable["getLimit"];
   /** Adds what a response to this host says. */
   recordObservation(upstream: UpstreamIncarnation, observation: LimitObservation): void;
   /** Adds the limits of another host's report, sent `ageMs` ago. */
@@ -59,41 +74,65 @@
   readonly untilMs: number;
 }
 
+type PermitRefusal = Extract<PermitResult, { type: "refused" }>;
+
 const TOPIC = "upstreams.permit";
 const MAX_DELAY_MS = 3_600_000;
 
 /**
  * Creates the limits of a host. One live host for each limited upstream, by rendezvous hash, owns
  * its limit and grants permits at its rate to the others; every request to the upstream needs one.
+ * An upstream is limited while it names a limit and while it is cold.
  */
 export function createUpstreamLimits(options: UpstreamLimitsOptions): UpstreamLimits {
   const { clock, random, logger, metrics, localHost, hosts } = options;
   const table = createLimitTable({ logger, metrics });
+  const cold = createColdTable({
+    clock,
+    getOwnCold: options.getCold,
+    listOwnCold: options.listCold,
+  });
   const owners = new Map<string, CachedOwner>();
+  /** The same for cold upstreams, which only hosts that know cold times own. */
+  const coldOwners = new Map<string, CachedOwner>();
   /** Limits that this host reports because it has observed them itself: until when, by upstream. */
   const reportUntilMs = new Map<string, number>();
   const freeAtMs = new Map<string, number>();
 
-  const findOwner = (upstreamId: string) => {
+  const getLimit = (upstream: UpstreamIncarnation) => {
+    const named = table.getLimit(upstream);
+    const coldPerSecond = cold.getCold(upstream)?.perSecond;
+    return coldPerSecond === undefined ? named : Math.min(named ?? coldPerSecond, coldPerSecond);
+  };
+  const getRate = (upstream: UpstreamIncarnation) =>
+    decidePermitRate(table.getLimit(upstream), cold.getCold(upstream)?.perSecond);
+  const findOwner = (upstreamId: string) =>
+    findOwnerAmong(upstreamId, cold.findCold(upstreamId) !== undefined);
+  const findOwnerAmong = (upstreamId: string, isCold: boolean) => {
     const nowMs = clock.readMonotonicMs();
-    const cached = owners.get(upstreamId);
+    const cache = isCold ? coldOwners : owners;
+    const cached = cache.get(upstreamId);
     if (cached !== undefined && cached.untilMs > nowMs) {
       return cached.host;
     }
-    const others = hosts.listLive().filter(({ isLeaving }) => !isLeaving).map(({ host }) => host);
+    const others = hosts.listLive().filter(({ isLeaving, protocolVersion }) =>
+      !isLeaving && (!isCold || protocolVersion >= PERMIT_LIMITS.coldProtocolVersion)
+    ).map(({ host }) => host);
     const candidates = options.isLeaving() && others.length > 0 ? others : [localHost, ...others];
     const view = candidates.toSorted().join(" ");
     const host = cached?.view === view
       ? cached.host
       : rankByRendezvous(upstreamId, candidates)[0] ?? localHost;
-    owners.set(upstreamId, { host, view, untilMs: nowMs + PERMIT_LIMITS.ownerCacheMs });
+    cache.set(upstreamId, { host, view, untilMs: nowMs + PERMIT_LIMITS.ownerCacheMs });
     return host;
   };
   const owner = createPermitOwner({
     clock,
-    table,
+    getRate,
     localHost,
     findOwner,
+    recordColdEnd: ({ id: upstream }, { granted, refused }) =>
+      logger.writeEvent("coldTimeEnded", { upstream, granted, refused }),
     computeShare: () =>
       computeOwnerShare({ live: hosts.listLive().length + 1, recent: hosts.countRecent() }),
   });
@@ -110,23 +149,37 @@
     incarnation: options.incarnation,
     owner,
     findOwner,
+    hasLimit: (upstream) => getLimit(upstream) !== undefined,
     sendRequest: (host, upstream, request) => {
-      const known = table.getObservation(upstream);
-      const nowMs = clock.readMonotonicMs();
-      if (known?.perSecond !== undefined) {
+      if (getLimit(upstream) !== undefined) {
         sendToHost(host, {
           type: "request",
           ...request,
           upstream: upstream.id,
           startedAt: upstream.startedAt,
-          perSecond: known.perSecond,
-          sentAgeMs: Math.max(0, nowMs - known.sentAtMs),
-          receivedAgeMs: Math.max(0, nowMs - known.receivedAtMs),
+          ...describeNamed(upstream),
+          ...describeCold(upstream),
         });
       }
     },
     sendCancel: (host, upstream, key) => sendToHost(host, { type: "cancel", key, upstream }),
   });
+  const describeNamed = (upstream: UpstreamIncarnation) => {
+    const known = table.getObservation(upstream);
+    const nowMs = clock.readMonotonicMs();
+    return known?.perSecond === undefined ? {} : {
+      perSecond: known.perSecond,
+      sentAgeMs: Math.max(0, nowMs - known.sentAtMs),
+      receivedAgeMs: Math.max(0, nowMs - known.receivedAtMs),
+    };
+  };
+  const describeCold = (upstream: UpstreamIncarnation) => {
+    const known = cold.getCold(upstream);
+    return known === undefined ? {} : {
+      coldPerSecond: known.perSecond,
+      coldMs: known.untilMs - clock.readMonotonicMs(),
+    };
+  };
   const recordObservation = (
     upstream: UpstreamIncarnation,
     observation: LimitObservation,
@@ -150,11 +203,22 @@
     }
     const nowMs = clock.readMonotonicMs();
     const upstream = { id: message.upstream, startedAt: message.startedAt };
-    recordObservation(upstream, {
-      perSecond: message.perSecond,
-      sentAtMs: nowMs - message.sentAgeMs,
-      receivedAtMs: nowMs - message.receivedAgeMs,
-    }, "request for a permit");
+    const { perSecond, sentAgeMs, receivedAgeMs, coldPerSecond, coldMs } = message;
+    if (perSecond !== undefined && sentAgeMs !== undefined && receivedAgeMs !== undefined) {
+      recordObservation(upstream, {
+        perSecond,
+        sentAtMs: nowMs - sentAgeMs,
+        receivedAtMs: nowMs - receivedAgeMs,
+      }, "request for a permit");
+    }
+    if (coldPerSecond !== undefined && coldMs !== undefined) {
+      const { startedAt } = upstream;
+      cold.recordTold(upstream.id, {
+        startedAt,
+        perSecond: coldPerSecond,
+        untilMs: nowMs + coldMs,
+      });
+    }
     owner.requestPermit(upstream, message, (answer) => {
       reply(
         answer.type === "refuse"
@@ -181,8 +245,39 @@
     );
   });
 
+  /** Ends the delays of a refusal with the cold time, after which no permit is needed. */
+  const limitDelays = (
+    upstream: UpstreamIncarnation,
+    { freeInMs, retryAfterMs }: Pick<PermitRefusal, "freeInMs" | "retryAfterMs">,
+  ): PermitRefusal => {
+    const untilMs = cold.getCold(upstream)?.untilMs;
+    if (untilMs === undefined || table.getLimit(upstream) !== undefined) {
+      return { type: "refused", freeInMs, retryAfterMs };
+    }
+    const leftMs = Math.max(0, untilMs - clock.readMonotonicMs());
+    const spreadMs = random.nextFloat() * PERMIT_LIMITS.coldReturnSpreadMs;
+    return {
+      type: "refused",
+      freeInMs: Math.min(freeInMs, leftMs),
+      retryAfterMs: Math.min(retryAfterMs, Math.ceil(leftMs + spreadMs)),
+    };
+  };
+  /**
+   * Whether a host that knows no cold times owns the named limit of a cold upstream: it and the owner
+   * of the cold upstream would both grant the limit.
+   */
+  const isOwnedByEarlierBuild = (upstream: UpstreamIncarnation) => {
+    if (table.getLimit(upstream) === undefined || cold.getCold(upstream) === undefined) {
+      return false;
+    }
+    const named = findOwnerAmong(upstream.id, false);
+    return hosts.listLive().some(({ host, protocolVersion }) =>
+      host === named && protocolVersion < PERMIT_LIMITS.coldProtocolVersion
+    );
+  };
+
   return {
-    getLimit: table.getLimit,
+    getLimit,
     recordObservation: (upstream, observation) => {
       const wasLimited = table.getLimit(upstream) !== undefined;
       const hasChanged = recordObservation(upstream, observation, "response");
@@ -226,20 +321,42 @@
       return known?.perSecond !== undefined &&
         clock.readMonotonicMs() - known.receivedAtMs > PERMIT_LIMITS.confirmMs;
     },
-    requestPermit: (upstream, request, handleResult) =>
-      client.requestPermit(upstream, request, (result) => {
-        metrics.increment("upstreams.permits", 1, { end: result.type });
+    requestPermit: (upstream, request, handleResult) => {
+      const isCold = cold.getCold(upstream) !== undefined;
+      const accept = (received: PermitResult) => {
+        const result = received.type === "refused" ? limitDelays(upstream, received) : received;
+        metrics.increment(isCold ? "upstreams.coldPermits" : "upstreams.permits", 1, {
+          end: result.type,
+        });
         if (result.type === "refused") {
           freeAtMs.set(upstream.id, clock.readMonotonicMs() + result.freeInMs);
         }
         handleResult(result);
-      }),
+      };
+      if (isOwnedByEarlierBuild(upstream)) {
+        const delayMs = PERMIT_LIMITS.silentReturnMs;
+        accept({ type: "refused", freeInMs: PERMIT_LIMITS.silentOwnerMs, retryAfterMs: delayMs });
+        return { cancel: () => {} };
+      }
+      return client.requestPermit(upstream, request, accept);
+    },
     tick: (isKnown) => {
       table.prune(isKnown);
-      table.listKnown().forEach(([id, { startedAt }]) => owner.refreshLimit({ id, startedAt }));
-      for (const id of [...reportUntilMs.keys(), ...freeAtMs.keys(), ...owners.keys()]) {
+      cold.prune();
+      const coldUpstreams = cold.listCold();
+      metrics.gauge("upstreams.cold", new Set(coldUpstreams.map(({ id }) => id)).size);
+      const named = table.listKnown().map(([id, { startedAt }]) => ({ id, startedAt }));
+      listLatest([...named, ...coldUpstreams, ...owner.listOwned()]).forEach(owner.refreshLimit);
+      for (
+        const id of [
+          ...reportUntilMs.keys(),
+          ...freeAtMs.keys(),
+          ...owners.keys(),
+          ...coldOwners.keys(),
+        ]
+      ) {
         if (!isKnown(id)) {
-          [reportUntilMs, freeAtMs, owners].forEach((map) => map.delete(id));
+          [reportUntilMs, freeAtMs, owners, coldOwners].forEach((map) => map.delete(id));
         }
       }
     },
@@ -249,3 +366,14 @@
     },
   };
 }
+
+/** Lists the latest incarnation of each upstream once. */
+function listLatest(upstreams: readonly UpstreamIncarnation[]): UpstreamIncarnation[] {
+  const latest = new Map<string, UpstreamIncarnation>();
+  for (const upstream of upstreams) {
+    if (upstream.startedAt > (latest.get(upstream.id)?.startedAt ?? Number.NEGATIVE_INFINITY)) {
+      latest.set(upstream.id, upstream);
+    }
+  }
+  return [...latest.values()];
+}
--- a/packages/daemon/src/upstream_limits/create_upstream_limits_test.ts
+++ b/packages/daemon/src/upstream_limits/create_upstream_limits_test.ts
@@ -54,6 +54,8 @@
       localHost: `h${index}`,
       incarnation: `${index}-${clock.readMonotonicMs()}`,
       hosts: fleet.hosts[index] as NonNullable<typeof fleet.hosts[number]>,
+      getCold: () => undefined,
+      listCold: () => [],
       isLeaving: () => false,
     });
     limitsByHost.set(index, limits);
--- a/packages/daemon/src/upstream_limits/permit_message_schema.ts
+++ b/packages/daemon/src/upstream_limits/permit_message_schema.ts
@@ -14,10 +14,16 @@
     priority: z.number(),
     waitMs: delaySchema,
     patientMs: delaySchema,
-    /** What the requesting host knows of the limit, so that the owner knows it too. */
-    perSecond: z.number().min(0),
-    sentAgeMs: z.number().min(0),
-    receivedAgeMs: z.number().min(0),
+    /**
+     * What the requesting host knows of the limit that the upstream names, so that the owner knows it
+     * too; missing without one. Builds of protocol version 0 need it.
+     */
+    perSecond: z.number().min(0).optional(),
+    sentAgeMs: z.number().min(0).optional(),
+    receivedAgeMs: z.number().min(0).optional(),
+    /** The rate that the upstream withstands while it is cold, and the time left; or missing. */
+    coldPerSecond: z.number().positive().optional(),
+    coldMs: z.number().positive().optional(),
   }),
   z.object({ type: z.literal("cancel"), key: keySchema, upstream: upstreamSchema }),
   z.object({ type: z.literal("grant"), key: keySchema }),
--- a/packages/daemon/src/upstreams/constants.ts
+++ b/packages/daemon/src/upstreams/constants.ts
@@ -14,6 +14,8 @@
    * Time for which an upstream is excluded after a failed connection; a restart takes some seconds.
    */
   unreachableMs: 1_000,
+  /** Longest cold time that a response or another host can tell. */
+  maxColdMs: 600_000,
   /** Longest pause that an upstream can ask for. */
   maxPauseMs: 600_000,
   /** Maximum random time added to a pause, so that not all hosts return at its end. */
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -227,6 +227,18 @@
     title: "Upstream says, or no longer says, that it falls over when it refuses too many requests",
     action: "If it lasts, the service needs more upstreams",
   },
+  upstreamCold: {
+    number: 8065,
+    level: "info",
+    title: "Upstream that was warm says that it is cold; it gets its service's cold rate",
+    action: "If it happens often, look at the upstream: something empties its caches",
+  },
+  coldTimeEnded: {
+    number: 8066,
+    level: "info",
+    title: "This host no longer grants the permits of an upstream that was cold",
+    action: "none; refused counts the requests that went elsewhere or were told to return",
+  },
   readerChanged: {
     number: 8052,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -179,12 +179,23 @@
   "upstreams.limitedRequests": {
     type: "counter",
     unit: "requests",
-    meaning: "Requests of any kind that this host sent to upstreams that name a limit",
+    meaning: "Requests of any kind that this host sent to upstreams that name a limit or are cold",
   },
   "upstreams.permits": {
     type: "counter",
     unit: "requests",
-    meaning: "Requests of this host for permits of limited upstreams, by tag `end`",
+    meaning:
+      "Requests of this host for permits of limited upstreams that are not cold, by tag `end`",
+  },
+  "upstreams.cold": {
+    type: "gauge",
+    unit: "upstreams",
+    meaning: "Upstreams that are cold, of services with a cold rate",
+  },
+  "upstreams.coldPermits": {
+    type: "counter",
+    unit: "requests",
+    meaning: "Requests of this host for permits of cold upstreams, by tag `end`",
   },
   "hosts.rejected": {
     type: "counter",
