Report the cold time of a start that replaces an equally cold one

Cause: the new test of notices found that a host did not report the cold time read from a record when a former start had the same end.

Change: the comparison includes the start.

--- a/packages/daemon/src/gateway/create_cold_notices.ts
+++ b/packages/daemon/src/gateway/create_cold_notices.ts
@@ -88,11 +88,12 @@
         .map(({ record }) => record),
     observeRecord: (record, apply) => {
       const { id, startedAt } = record;
-      const beforeMs = state.upstreams.get(id)?.coldUntilMs;
+      const before = state.upstreams.get(id);
       const hasBecomeCold = observeChange(record, "record", apply);
-      const afterMs = state.upstreams.get(id)?.coldUntilMs ?? Number.NEGATIVE_INFINITY;
-      if (afterMs !== beforeMs && afterMs > clock.readMonotonicMs()) {
-        recordOwn(id, { startedAt, untilMs: afterMs, isFromRecord: true });
+      const after = state.upstreams.get(id);
+      const formerMs = before?.record.startedAt === startedAt ? before.coldUntilMs : undefined;
+      if (after?.record.startedAt === startedAt && after.coldUntilMs !== formerMs) {
+        recordOwn(id, { startedAt, untilMs: after.coldUntilMs, isFromRecord: true });
       }
       if (hasBecomeCold) {
         options.hosts.scheduleUrgentReport();
