Grant nothing for cold upstreams in a small part of a fleet

Cause: a host that is cut off takes itself for the only one after a second and granted its share of the cold rate, and each of many small parts kept one permit. Each host also listed and sorted all live hosts for each cold upstream ten times a second.

Change: below a quarter of the hosts of the last minute nothing is granted for cold upstreams. The list of hosts that may own a limit is shared by all upstreams for 100 ms. Tests: a host that is cut off sends nothing once it takes itself for the only one; hosts of an earlier build own no cold upstream, and nothing is sent where one owns the named limit of it.

--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -23,6 +23,8 @@
   readonly lossRate?: number;
   /** Lists the limits that a host reports. */
   readonly listLimits?: (index: number) => HostReport["limits"];
+  /** Returns what the build of a host knows; 1 by default. */
+  readonly getProtocolVersion?: (index: number) => number;
   /** Called when a host has received a new report. */
   readonly receiveReport?: (index: number, received: AgedReport) => void;
 }
@@ -134,7 +136,7 @@
           limits: options.listLimits?.(index) ?? [],
           brittle: [],
           unreachableServices: [],
-          protocolVersion: 1,
+          protocolVersion: options.getProtocolVersion?.(index) ?? 1,
           evacuations: [],
           cold: [],
           waiting: [],
--- a/packages/daemon/src/upstream_limits/cold_upstreams_test.ts
+++ b/packages/daemon/src/upstream_limits/cold_upstreams_test.ts
@@ -43,6 +43,10 @@
   options: {
     hosts: number;
     discoveryMs?: number;
+    /** Host of a build that knows no cold times. */
+    earlierBuild?: number;
+    /** The limit that all upstreams name to all hosts. */
+    named?: number;
     /** Upstreams whose cold time the given host knows of by itself; all by default. */
     countKnown?: (host: number) => number;
   },
@@ -56,6 +60,7 @@
   const fleet = await createTestFleet({
     hosts: options.hosts,
     dataCentres: options.hosts > 20 ? 4 : 2,
+    getProtocolVersion: (index) => index === options.earlierBuild ? 0 : 1,
     ...(options.discoveryMs === undefined ? {} : { discoveryMs: options.discoveryMs }),
     listLimits: (index) => limitsByHost.get(index)?.listReported() ?? [],
     receiveReport: (index, { report, ageMs }) =>
@@ -84,7 +89,18 @@
       }),
     );
   };
-  listIndexes(options.hosts).forEach(startLimits);
+  // To the messages of this one, a host of an earlier build gives no answer.
+  listIndexes(options.hosts).filter((host) => host !== options.earlierBuild).forEach(startLimits);
+  const { named } = options;
+  if (named !== undefined) {
+    const nowMs = clock.readMonotonicMs();
+    const observation = { perSecond: named, sentAtMs: nowMs, receivedAtMs: nowMs };
+    limitsByHost.forEach((limits) =>
+      listIndexes(UPSTREAMS).forEach((index) =>
+        limits.recordObservation(getUpstream(index), observation)
+      )
+    );
+  }
   const restart = async (index: number) => {
     fleet.hosts[index]?.stop();
     limitsByHost.get(index)?.stop();
@@ -207,7 +223,12 @@
           host === lone && upstream === 0 && atMs > cutAtMs + ARRIVAL_MS
         );
         expect(sent).to.deep.equal([]);
-        await fleet.runLoad({ seconds: 6, chooseHost: spread(hosts) });
+        await fleet.runLoad({ seconds: 5, chooseHost: spread(hosts) });
+        // By then it takes itself for the only host, and would be the owner of everything.
+        const loneAtMs = fleet.clock.readMonotonicMs();
+        await fleet.runLoad({ seconds: 1, chooseHost: () => lone });
+        expect(fleet.arrivals.filter(({ host, atMs }) => host === lone && atMs > loneAtMs))
+          .to.deep.equal([]);
         fleet.expectBoundKept();
       });
 
@@ -271,6 +292,32 @@
     expect(fleet.arrivals.length).to.be.greaterThan(0);
   });
 
+  it("has no owner of an earlier build, which would take its rate for a named limit", async () => {
+    const fleet = await createColdFleet({ hosts: 6, earlierBuild: 2 });
+    await fleet.run(SETTLE_MS);
+    await fleet.runLoad({ seconds: 3, chooseHost: () => 3 });
+    fleet.expectBoundKept();
+    for (const index of listIndexes(UPSTREAMS)) {
+      expect(fleet.arrivals.filter(({ upstream }) => upstream === index).length)
+        .to.be.at.least(0.8 * GRANTED_PER_SECOND * 2);
+    }
+  });
+
+  it("gets nothing while an earlier build owns the limit that it names as well", async () => {
+    const fleet = await createColdFleet({ hosts: 6, named: 10 });
+    const owner = fleet.findOwner(0);
+    const mixed = await createColdFleet({ hosts: 6, named: 10, earlierBuild: owner });
+    for (const { run, runLoad, expectBoundKept } of [fleet, mixed]) {
+      await run(SETTLE_MS);
+      await runLoad({ seconds: 2, chooseHost: () => (owner + 1) % 6 });
+      expectBoundKept();
+    }
+    const countAt = (arrivals: typeof fleet.arrivals) =>
+      arrivals.filter(({ upstream }) => upstream === 0).length;
+    expect(countAt(fleet.arrivals)).to.be.greaterThan(0);
+    expect(countAt(mixed.arrivals)).to.equal(0);
+  });
+
   it("adds no datagram and no reported limit while nobody sends a request there", async () => {
     const cold = await createColdFleet({ hosts: 6 });
     const warm = await createColdFleet({ hosts: 6 });
--- a/packages/daemon/src/upstream_limits/constants.ts
+++ b/packages/daemon/src/upstream_limits/constants.ts
@@ -18,6 +18,11 @@
    * 1.5 rate + 5.
    */
   coldRateShare: 2 / 3,
+  /**
+   * Share of the fleet below which a host grants nothing for cold upstreams: it may be cut off, and
+   * each of many small parts would keep a permit.
+   */
+  minColdShare: 0.25,
   /** Unused permits that are kept for a cold upstream. */
   coldKept: 1,
   /**
@@ -72,6 +77,6 @@
   maxReported: 64,
   /** Interval at which an owner with waiting requests checks that it still is the owner. */
   ownerCheckMs: 100,
-  /** Time for which the owner of an upstream is cached; then it is ranked again if hosts changed. */
+  /** Time for which the hosts that may own a limit are cached; owners are ranked again if they changed. */
   ownerCacheMs: 100,
 } as const;
--- a/packages/daemon/src/upstream_limits/create_permit_owner.ts
+++ b/packages/daemon/src/upstream_limits/create_permit_owner.ts
@@ -72,7 +72,10 @@
   /** Final answers by key, in the order in which they were given. */
   const answered = new Map<string, { readonly answer: PermitAnswer; readonly atMs: number }>();
 
-  const computeRate = ({ perSecond }: PermitRate) => perSecond * options.computeShare();
+  const computeRate = ({ perSecond, isCold }: PermitRate) => {
+    const share = options.computeShare();
+    return isCold && share < PERMIT_LIMITS.minColdShare ? 0 : perSecond * share;
+  };
 
   const sendAnswer = (limit: OwnedLimit, answer: PermitAnswer) => {
     const send = limit.answers.get(answer.key);
--- a/packages/daemon/src/upstream_limits/create_upstream_limits.ts
+++ b/packages/daemon/src/upstream_limits/create_upstream_limits.ts
@@ -67,11 +67,18 @@
   stop(): void;
 }
 
+/** The hosts of which one owns each limit. */
+interface OwnerView {
+  readonly candidates: readonly string[];
+  /** Their names in order, for comparison. */
+  readonly names: string;
+  readonly untilMs: number;
+}
+
 interface CachedOwner {
   readonly host: string;
-  /** The hosts among which it was chosen. */
-  readonly view: string;
-  readonly untilMs: number;
+  /** Names of the hosts among which it was chosen. */
+  readonly names: string;
 }
 
 type PermitRefusal = Extract<PermitResult, { type: "refused" }>;
@@ -95,6 +102,8 @@
   const owners = new Map<string, CachedOwner>();
   /** The same for cold upstreams, which only hosts that know cold times own. */
   const coldOwners = new Map<string, CachedOwner>();
+  let view: OwnerView | undefined;
+  let coldView: OwnerView | undefined;
   /** Limits that this host reports because it has observed them itself: until when, by upstream. */
   const reportUntilMs = new Map<string, number>();
   const freeAtMs = new Map<string, number>();
@@ -108,22 +117,31 @@
     decidePermitRate(table.getLimit(upstream), cold.getCold(upstream)?.perSecond);
   const findOwner = (upstreamId: string) =>
     findOwnerAmong(upstreamId, cold.findCold(upstreamId) !== undefined);
-  const findOwnerAmong = (upstreamId: string, isCold: boolean) => {
+  /** Returns the hosts that may own a limit; they are listed again after a short time. */
+  const readView = (isCold: boolean): OwnerView => {
     const nowMs = clock.readMonotonicMs();
-    const cache = isCold ? coldOwners : owners;
-    const cached = cache.get(upstreamId);
-    if (cached !== undefined && cached.untilMs > nowMs) {
-      return cached.host;
+    const former = isCold ? coldView : view;
+    if (former !== undefined && former.untilMs > nowMs) {
+      return former;
     }
     const others = hosts.listLive().filter(({ isLeaving, protocolVersion }) =>
       !isLeaving && (!isCold || protocolVersion >= PERMIT_LIMITS.coldProtocolVersion)
     ).map(({ host }) => host);
     const candidates = options.isLeaving() && others.length > 0 ? others : [localHost, ...others];
-    const view = candidates.toSorted().join(" ");
-    const host = cached?.view === view
-      ? cached.host
-      : rankByRendezvous(upstreamId, candidates)[0] ?? localHost;
-    cache.set(upstreamId, { host, view, untilMs: nowMs + PERMIT_LIMITS.ownerCacheMs });
+    const untilMs = nowMs + PERMIT_LIMITS.ownerCacheMs;
+    const next = { candidates, names: candidates.toSorted().join(" "), untilMs };
+    isCold ? coldView = next : view = next;
+    return next;
+  };
+  const findOwnerAmong = (upstreamId: string, isCold: boolean) => {
+    const { candidates, names } = readView(isCold);
+    const cache = isCold ? coldOwners : owners;
+    const cached = cache.get(upstreamId);
+    if (cached?.names === names) {
+      return cached.host;
+    }
+    const host = rankByRendezvous(upstreamId, candidates)[0] ?? localHost;
+    cache.set(upstreamId, { host, names });
     return host;
   };
   const owner = createPermitOwner({
--- a/packages/daemon/src/upstream_limits/refill_permits.ts
+++ b/packages/daemon/src/upstream_limits/refill_permits.ts
@@ -12,8 +12,9 @@
   isCold = false,
 ): void {
   const elapsedMs = Math.max(0, nowMs - state.updatedAtMs);
+  const keptIfCold = perSecond === 0 ? 0 : PERMIT_LIMITS.coldKept;
   const kept = (rate: number) =>
-    isCold ? PERMIT_LIMITS.coldKept : Math.max(1, rate * PERMIT_LIMITS.keptMs / 1_000);
+    isCold ? keptIfCold : Math.max(1, rate * PERMIT_LIMITS.keptMs / 1_000);
   const accrued = isCold && elapsedMs > PERMIT_LIMITS.coldGapMs
     ? 0
     : Math.min(kept(state.perSecond), state.permits + elapsedMs * state.perSecond / 1_000);
