--- a/packages/daemon/src/balancing/testing/run_choices.ts
+++ b/packages/daemon/src/balancing/testing/run_choices.ts
@@ -184,6 +184,8 @@
       sinceMs: 0,
       isAbsent: false,
       slowUntilMs: 0,
+      coldUntilMs: 0,
+      startSeenMs: Number.NEGATIVE_INFINITY,
     },
     load: {
       inFlight,
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -14,6 +14,7 @@
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
 import { createActiveSettings } from "./create_active_settings.ts";
+import { createColdNotices } from "./create_cold_notices.ts";
 import { createEvacuationWiring } from "./create_evacuation_wiring.ts";
 import { createGatewayAnswers } from "./create_gateway_answers.ts";
 import { createGatewayListeners } from "./create_gateway_listeners.ts";
@@ -96,7 +97,7 @@
     metrics,
     state: upstreams.state,
     scheduleUrgentReport: () => hosts.scheduleUrgentReport(),
-    handleReturned: () => {}, // its upstreams count as warm
+    handleReturned: (dataCentre) => cold.recordReturn(dataCentre),
   });
   const isReady = () => readSettings() !== undefined && !isLeaving;
   const describeHost = (): LocalReport => ({
@@ -117,7 +118,7 @@
     unreachableServices: reachability.listUnreachable().slice(0, HOST_LIMITS.maxReportedServices),
     protocolVersion: PROTOCOL_VERSION,
     evacuations: evacuation.listReported(),
-    cold: [],
+    cold: cold.listReported(reading.isReader()),
     waiting: [],
   });
   const hosts = createFleetHosts({
@@ -136,6 +137,7 @@
       const sentAtMs = clock.readMonotonicMs() - ageMs;
       loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
       applyReportedUpstreams(upstreams, reading, { report, ageMs }, clock.readMonotonicMs());
+      cold.acceptReport(report, ageMs);
       limits.acceptReport(report, ageMs);
       brittle.acceptReport(report, ageMs);
       versions.acceptVersion(report.settingsVersion);
@@ -158,7 +160,16 @@
     state: upstreams.state,
     hosts,
   });
+  const cold = createColdNotices({
+    clock,
+    logger,
+    state: upstreams.state,
+    getService: (name) => readSettings()?.services.get(name),
+    hosts,
+  });
   const limits = createUpstreamLimits({
+    getCold: cold.getCold,
+    listCold: cold.listCold,
     clock,
     random,
     logger,
@@ -220,6 +231,9 @@
       if (signals.pauseMs > 0) {
         pauses.recordPause(upstream, signals.pauseMs);
       }
+      if (signals.coldMs > 0) {
+        cold.recordSignal(upstream, signals.coldMs);
+      }
       if (signals.limitPerSecond !== "unreadable") {
         limits.recordObservation(upstream.record, {
           perSecond: signals.limitPerSecond,
@@ -409,7 +423,7 @@
       options.feed.start({
         applySettings: settings.apply,
         ...evacuation.listener,
-        applyUpstream: upstreams.applyRecord,
+        applyUpstream: (record) => cold.observeRecord(record, () => upstreams.applyRecord(record)),
         removeUpstream: upstreams.removeRecord,
         applyUpstreamList: upstreams.applyList,
         recordUpstreamsRead: (readAtMs) => {
