Refuse what waits for a former start of a cold upstream

Cause: when an upstream starts again, the owner granted at once all requests that waited for a permit of the former start. A host that has not seen the new start yet would send them to the same address, now a cold process.

Change: they are refused if the new start is cold. A request for a former start counts against the cold rate of the latest one.

--- a/packages/daemon/src/upstream_limits/create_cold_table.ts
+++ b/packages/daemon/src/upstream_limits/create_cold_table.ts
@@ -16,7 +16,10 @@
 export interface ColdTable {
   /** Returns the cold time of the incarnation that started last; undefined if none is cold. */
   findCold(upstreamId: string): ColdTime | undefined;
-  /** Returns the cold time of an incarnation; undefined if it is warm. */
+  /**
+   * Returns the cold time of an incarnation or, as requests to it may reach that one, of a later one;
+   * undefined if both are warm.
+   */
   getCold(upstream: UpstreamIncarnation): ColdTime | undefined;
   /** Adds what a request for a permit says. */
   recordTold(upstreamId: string, cold: ColdTime): void;
@@ -38,7 +41,7 @@
     findCold,
     getCold: ({ id, startedAt }) => {
       const cold = findCold(id);
-      return cold?.startedAt === startedAt ? cold : undefined;
+      return cold !== undefined && cold.startedAt >= startedAt ? cold : undefined;
     },
     recordTold: (id, cold) => {
       const limitMs = clock.readMonotonicMs() + PERMIT_LIMITS.maxToldColdMs;
--- a/packages/daemon/src/upstream_limits/create_permit_owner.ts
+++ b/packages/daemon/src/upstream_limits/create_permit_owner.ts
@@ -144,7 +144,10 @@
       return known;
     }
     if (known !== undefined) {
-      endOwnership(known, (key) => ({ type: "grant", key })); // the limit ended with its process
+      endOwnership(known, (key) =>
+        rate.isCold
+          ? refuseAtRestart(key) // the request could reach the process that has just started
+          : { type: "grant", key }); // the limit ended with its process
     }
     const startMs = Math.max(clock.readMonotonicMs(), settledAtMs);
     const limit: OwnedLimit = {
@@ -210,3 +213,12 @@
     stop: () => owned.forEach(({ timer }) => timer?.cancel()),
   };
 }
+
+function refuseAtRestart(key: string): PermitAnswer {
+  return {
+    type: "refuse",
+    key,
+    freeInMs: PERMIT_LIMITS.silentOwnerMs,
+    retryAfterMs: PERMIT_LIMITS.silentReturnMs,
+  };
+}
