--- a/packages/daemon/src/fleet_hosts/mod.ts
+++ b/packages/daemon/src/fleet_hosts/mod.ts
@@ -4,6 +4,7 @@
 export { computeLiveTime } from "./compute_live_time.ts";
 export { HOST_LIMITS } from "./constants.ts";
 export { createHostNotices } from "./create_host_notices.ts";
+export { decodeHostDatagram } from "./decode_host_datagram.ts";
 export { createFleetHosts } from "./create_fleet_hosts.ts";
 export type { FleetHosts, LocalReport, MessageListener } from "./create_fleet_hosts.ts";
 export type { AgedReport } from "./host_datagram.ts";
--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -23,6 +23,12 @@
   readonly lossRate?: number;
   /** Lists the limits that a host reports. */
   readonly listLimits?: (index: number) => HostReport["limits"];
+  /** Number of upstreams whose performance a host reports; by default 12, or 3 above 80 hosts. */
+  readonly reportedUpstreams?: number;
+  /** Called with each datagram that a host sends, also if it is lost. */
+  readonly recordDatagram?: (sender: number, receiver: number, datagram: Uint8Array) => void;
+  /** Calls what a host does on a datagram or timer, for measurements. */
+  readonly runCall?: (cause: "datagram" | "timer", call: () => void) => void;
   /** Called when a host has received a new report. */
   readonly receiveReport?: (index: number, received: AgedReport) => void;
 }
@@ -45,6 +51,7 @@
   const parts = new Map<number, number>();
   /** Frozen hosts: what their timers and sockets would have called, in order. */
   const frozen = new Map<number, (() => void)[]>();
+  const runCall = options.runCall ?? ((_cause: "datagram" | "timer", call: () => void) => call());
   const runUnlessFrozen = (index: number, call: () => void) => {
     const missed = frozen.get(index);
     missed === undefined ? call() : missed.push(call);
@@ -55,7 +62,7 @@
       let isCancelled = false;
       const timer = clock.startTimer(
         delayMs,
-        () => runUnlessFrozen(index, () => isCancelled || callback()),
+        () => runUnlessFrozen(index, () => isCancelled || runCall("timer", callback)),
       );
       return {
         cancel: () => {
@@ -96,13 +103,14 @@
             send: (target, datagram) => {
               sent.datagrams++;
               sent.bytes += datagram.length;
-              const isBetween = getIndex(target) % dataCentres !== index % dataCentres;
-              sent.betweenDataCentres += isBetween ? datagram.length : 0;
               const receiver = getIndex(target);
+              options.recordDatagram?.(index, receiver, datagram);
+              const isBetween = receiver % dataCentres !== index % dataCentres;
+              sent.betweenDataCentres += isBetween ? datagram.length : 0;
               const isCut = cut.has(index) || cut.has(receiver) ||
                 parts.get(index) !== parts.get(receiver);
               if (!isCut && random.nextFloat() >= (options.lossRate ?? LOSS_RATE)) {
-                const receive = () => sockets.get(target)?.(datagram);
+                const receive = () => runCall("datagram", () => sockets.get(target)?.(datagram));
                 clock.startTimer(STEP_MS, () => runUnlessFrozen(receiver, receive));
               }
             },
@@ -125,7 +133,7 @@
           settingsEra: 1,
           loads: loads.get(index) ?? [],
           conduct: Array.from(
-            { length: count > 80 ? 3 : 12 },
+            { length: options.reportedUpstreams ?? (count > 80 ? 3 : 12) },
             (_, upstream) => [`engine-${upstream}`, 5, 7, 0],
           ),
           leaving: [],
