Check, forward and batch reports for less

Cause: of the processor time of reports most was the schema's parser (5.3 of 8 us a report) and the garbage of it; a report was checked again each time another relay repeated it, and encoded again when it was forwarded. Batches of relays took two to three datagrams.

Change: a report that is not newer than the known one is recognised by its first three fields and not decoded. A forwarded report keeps its bytes. What needs several datagrams is deflated for hosts with `protocolVersion` 1; others get it as before. A host determines the relays of its data centre once in 20 ms instead of for each report.

--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -28,8 +28,29 @@
    * the delay and the interval of the first relay and two transfers between data centres.
    */
   relayTakeoverMs: 250,
+  /** Time for which a host stores the relays of its data centre; a batch needs them many times. */
+  relayCacheMs: 20,
   /** Largest body of a datagram; with the headers it fits into a packet of 1,500 bytes. */
   maxBatchBytes: 1_350,
+  /** Largest compressed datagram; a packet of 1,500 bytes has 1,472 for it. */
+  maxCompressedBytes: 1_460,
+  /**
+   * First byte of a compressed body. Msgpack does not use it, so an earlier build rejects such a
+   * body whole.
+   */
+  compressedMark: 0xc1,
+  /**
+   * Compression of a batch. Level 3 would make it 7% larger and take a quarter less time. The small
+   * window and buffers suffice for some kilobytes; the defaults take 256 KB for each call
+   * and showed as garbage collection.
+   */
+  compression: { level: 6, windowBits: 13, memLevel: 6, chunkSize: 4_096 },
+  /** The window must not be smaller than that of the compression. */
+  inflation: { windowBits: 13, chunkSize: 8_192 },
+  /** Largest body after decompression; the reports of 512 hosts fit several times. */
+  maxInflatedBytes: 1_048_576,
+  /** Reports are only compressed for hosts with at least this `protocolVersion`. */
+  compressionVersion: 1,
   /** Largest number of messages in a datagram. */
   maxMessages: 16,
   /** In a large fleet, the delay after which a change that is not urgent is reported. */
--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -7,9 +7,9 @@
 import { createHostNotices } from "./create_host_notices.ts";
 import type { HostNotices } from "./create_host_notices.ts";
 import { createHostRelay } from "./create_host_relay.ts";
+import { createReportSender } from "./create_report_sender.ts";
 import { decodeHostDatagram } from "./decode_host_datagram.ts";
 import { encodeHostDatagram } from "./encode_host_datagram.ts";
-import { encodeHostReport } from "./encode_host_report.ts";
 import { expireHosts } from "./expire_hosts.ts";
 import { hasFewHosts } from "./has_few_hosts.ts";
 import type { AgedReport, HostDatagram } from "./host_datagram.ts";
@@ -19,9 +19,9 @@
 import { listLiveHosts } from "./list_live_hosts.ts";
 import { listRecentHosts } from "./list_recent_hosts.ts";
 import type { RelayCandidate } from "./rank_relays.ts";
+import type { ReportIdentity } from "./read_report_identity.ts";
 import { selectRandom } from "./select_random.ts";
 import { selectReportsForHost } from "./select_reports_for_host.ts";
-import { splitReports } from "./split_reports.ts";
 
 /** Options of {@link createFleetHosts}. */
 export interface FleetHostsOptions {
@@ -97,6 +97,7 @@
   let lastRetryMs = Number.NEGATIVE_INFINITY;
   let isReportBroughtForward = false;
   let peerOffset = 0;
+  let localIncarnation: string | undefined;
 
   const localSender = { address: options.peerAddress, dataCentre: localHost.dataCentre };
 
@@ -105,21 +106,17 @@
   const listRecentAddresses = () => listRecent().map(({ peerAddress }) => peerAddress);
   const isMesh = () => Math.max(state.addresses.size, state.hosts.size) <= HOST_LIMITS.maxMeshHosts;
 
-  const sendReports = (addresses: readonly string[], reports: readonly AgedReport[]) => {
-    const targets = addresses.filter((address) => address !== options.peerAddress);
-    if (targets.length === 0) {
-      return;
-    }
-    const encoded = reports.map(({ report, ageMs }) => ({
-      bytes: encodeHostReport(report),
-      ageMs,
-    }));
-    for (const group of splitReports(encoded, HOST_LIMITS.maxBatchBytes)) {
-      const datagram = encodeHostDatagram(localSender, group, options.fleetKey);
-      targets.forEach((address) => socket?.send(address, datagram));
-    }
-  };
-
+  const { sendReports } = createReportSender({
+    sender: localSender,
+    fleetKey: options.fleetKey,
+    sendDatagram: (address, datagram) => socket?.send(address, datagram),
+    listCompressionReaders: () =>
+      new Set(
+        [...state.hosts.values()]
+          .filter(({ report }) => report.protocolVersion >= HOST_LIMITS.compressionVersion)
+          .map(({ report }) => report.peerAddress),
+      ),
+  });
   const relay = createHostRelay({ clock, localHost, listLive, listRecent, sendReports });
   const notices = createHostNotices({
     clock,
@@ -127,12 +124,25 @@
     scheduleUrgentReport: () => scheduleUrgentReport(),
   });
 
+  /**
+   * Whether a report is this host's own or not newer than the stored one. A report that its host
+   * sent itself is always decoded, as that host may need the reports of others.
+   */
+  const isKnown = ({ host, incarnation, sequence }: ReportIdentity, senderAddress: string) => {
+    if (host === localHost.host) {
+      return incarnation === localIncarnation;
+    }
+    const known = state.hosts.get(host)?.report;
+    return known?.incarnation === incarnation && known.sequence >= sequence &&
+      known.peerAddress !== senderAddress;
+  };
   const receive = (bytes: Uint8Array) => {
-    const datagram = decodeHostDatagram(bytes, options.fleetKey);
+    const datagram = decodeHostDatagram(bytes, options.fleetKey, isKnown);
     if (datagram === undefined) {
       metrics.increment("hosts.rejected");
       return;
     }
+    datagram.known?.forEach((identity) => relay.recordForwarded(identity, datagram));
     datagram.reports.forEach((received) => acceptReport(received, datagram));
     for (const { topic, payload } of datagram.messages) {
       messageListeners.get(topic)?.(payload, datagram.senderAddress);
@@ -177,6 +187,7 @@
     sequence++;
     const known = listLive();
     const built = options.buildReport();
+    localIncarnation = built.incarnation;
     return {
       ...built,
       conduct: isRegular ? built.conduct : null,
--- a/packages/daemon/src/fleet_hosts/create_host_relay.ts
+++ b/packages/daemon/src/fleet_hosts/create_host_relay.ts
@@ -6,6 +6,7 @@
 import type { HostReport } from "./host_report_schema.ts";
 import { rankRelays } from "./rank_relays.ts";
 import type { RelayCandidate } from "./rank_relays.ts";
+import type { ReportIdentity } from "./read_report_identity.ts";
 
 /** Options of {@link createHostRelay}. */
 export interface HostRelayOptions {
@@ -25,6 +26,8 @@
   isRelay(host: string): boolean;
   /** Forwards a received report if this host has to; `isNew` states that it was stored. */
   forwardReport(received: AgedReport, sender: HostDatagram, isNew: boolean): void;
+  /** Takes into account that another host has forwarded a report that is known here already. */
+  recordForwarded(identity: ReportIdentity, sender: HostDatagram): void;
   stop(): void;
 }
 
@@ -49,8 +52,16 @@
   const listLocalRelays = () =>
     rankRelays<RelayCandidate>([localHost, ...options.listLive()], localHost.dataCentre)
       .slice(0, HOST_LIMITS.relaysPerReport).map(({ host }) => host);
+  let cachedRelays = { hosts: listLocalRelays(), untilMs: Number.NEGATIVE_INFINITY };
+  const getLocalRelays = () => {
+    const nowMs = options.clock.readMonotonicMs();
+    if (nowMs >= cachedRelays.untilMs) {
+      cachedRelays = { hosts: listLocalRelays(), untilMs: nowMs + HOST_LIMITS.relayCacheMs };
+    }
+    return cachedRelays.hosts;
+  };
   const computeRank = () => {
-    const rank = listLocalRelays().indexOf(localHost.host);
+    const rank = getLocalRelays().indexOf(localHost.host);
     return rank < 0 ? HOST_LIMITS.relaysPerReport : rank;
   };
   const queue = createRelayQueue({
@@ -98,6 +109,11 @@
         queue.enqueue({ ...received, scope, rank: computeRank() });
       }
     },
+    recordForwarded: (identity, sender) => {
+      if (sender.senderDataCentre === localHost.dataCentre) {
+        queue.dropForwarded(identity);
+      }
+    },
     stop: () => queue.stop(),
   };
 }
--- a/packages/daemon/src/fleet_hosts/create_relay_queue.ts
+++ b/packages/daemon/src/fleet_hosts/create_relay_queue.ts
@@ -34,6 +34,8 @@
 
 interface PendingEntry {
   readonly report: HostReport;
+  /** The report as received, unless it was merged. */
+  readonly bytes: Uint8Array | undefined;
   readonly scope: Exclude<ForwardingScope, "none">;
   /** Monotonic time at which the report's host sent it. */
   readonly sentAtMs: number;
@@ -64,7 +66,11 @@
     timer = undefined;
     const nowMs = clock.readMonotonicMs();
     const due = [...pending.values()].filter(({ rank, dueMs }) => rank === 0 || dueMs <= nowMs);
-    const addAge = ({ report, sentAtMs }: PendingEntry) => ({ report, ageMs: nowMs - sentAtMs });
+    const addAge = ({ report, bytes, sentAtMs }: PendingEntry): AgedReport => ({
+      report,
+      ageMs: nowMs - sentAtMs,
+      ...(bytes && { bytes }),
+    });
     options.sendToDataCentre(due.map(addAge));
     options.sendToRelays(due.filter(({ scope }) => scope === "fleet").map(addAge));
     due.forEach(({ report }) => pending.delete(report.host));
@@ -73,7 +79,7 @@
   };
 
   return {
-    enqueue: ({ report, ageMs, scope, rank }) => {
+    enqueue: ({ report, ageMs, bytes, scope, rank }) => {
       const nowMs = clock.readMonotonicMs();
       const known = pending.get(report.host);
       const isRegular = report.conduct !== null;
@@ -83,6 +89,7 @@
         : nowMs + rank * HOST_LIMITS.relayTakeoverMs;
       pending.set(report.host, {
         report: known === undefined ? report : mergeReports(known.report, report),
+        bytes: known === undefined ? bytes : undefined,
         scope: known?.scope === "fleet" ? "fleet" : scope,
         sentAtMs: nowMs - ageMs,
         dueMs: Math.min(known?.dueMs ?? Number.POSITIVE_INFINITY, dueMs),
--- a/packages/daemon/src/fleet_hosts/encode_host_datagram.ts
+++ b/packages/daemon/src/fleet_hosts/encode_host_datagram.ts
@@ -1,4 +1,6 @@
+import { deflateRawSync } from "node:zlib";
 import { pack } from "msgpackr";
+import { HOST_LIMITS } from "./constants.ts";
 import type { HostMessage } from "./host_message.ts";
 import { signDatagram } from "./sign_datagram.ts";
 
@@ -8,15 +10,25 @@
   readonly ageMs: number;
 }
 
-/** Encodes reports and messages of a sender as a signed datagram. */
+/**
+ * Encodes reports and messages of a sender as a signed datagram. Hosts whose reports have
+ * `protocolVersion` 0 cannot read compressed ones.
+ */
 export function encodeHostDatagram(
   sender: { readonly address: string; readonly dataCentre: string },
   reports: readonly EncodedReport[],
   key: string,
   messages: readonly HostMessage[] = [],
+  isCompressed = false,
 ): Uint8Array {
   const items = reports.map(({ bytes, ageMs }) => [Math.round(ageMs), bytes]);
   const parts = messages.map(({ topic, payload }) => [topic, payload]);
-  const body = pack([sender.address, sender.dataCentre, items, parts]);
+  const content = pack([sender.address, sender.dataCentre, items, parts]);
+  const body = isCompressed
+    ? Buffer.concat([
+      Uint8Array.of(HOST_LIMITS.compressedMark),
+      deflateRawSync(content, HOST_LIMITS.compression),
+    ])
+    : content;
   return Buffer.concat([signDatagram(body, key), body]);
 }
