Send a host's reports to one relay as long as it forwards them

Cause: each host sent each report to three relays, two of which only stood by, and relays that stand by forwarded reports that had been forwarded: their own ones, which they did not see return, and those of the first relay, which came from their origin.

Change: a host sends its reports to the first relay. The relay's batch returns to the host; if a report is not in one after 200 ms, the host sends it to the other relays with its age, so that they forward it after 250 and 500 ms as before, and sends to all three until the first relay forwards again. Relays that stand by drop their own reports when they return and do not keep those of the first relay. The queue of a relay computes its next time from the entry that is added instead of from all.

--- a/packages/daemon/src/fleet_hosts/apply_host_report.ts
+++ b/packages/daemon/src/fleet_hosts/apply_host_report.ts
@@ -17,10 +17,13 @@
     return false;
   }
   state.hosts.set(report.host, { report, lastReportMs: sentAtMs });
-  for (const address of [report.peerAddress, ...report.peers]) {
-    if (!state.addresses.has(address) && state.addresses.size < HOST_LIMITS.maxHosts) {
-      state.addresses.set(address, sentAtMs);
-    }
-  }
+  addAddress(state, report.peerAddress, sentAtMs);
+  report.peers.forEach((address) => addAddress(state, address, sentAtMs));
   return true;
 }
+
+function addAddress({ addresses }: HostState, address: string, seenAtMs: number): void {
+  if (!addresses.has(address) && addresses.size < HOST_LIMITS.maxHosts) {
+    addresses.set(address, seenAtMs);
+  }
+}
--- a/packages/daemon/src/fleet_hosts/constants.ts
+++ b/packages/daemon/src/fleet_hosts/constants.ts
@@ -30,6 +30,12 @@
   relayTakeoverMs: 250,
   /** Time for which a host stores the relays of its data centre; a batch needs them many times. */
   relayCacheMs: 20,
+  /**
+   * Time in which a host's report must return from the first relay; otherwise the host sends it to
+   * the relays that stand by. It exceeds the delay and the interval of the first relay and is below
+   * `relayTakeoverMs`, so the second relay forwards the report as early as if it had had it at once.
+   */
+  confirmMs: 200,
   /** Largest body of a datagram; with the headers it fits into a packet of 1,500 bytes. */
   maxBatchBytes: 1_350,
   /** Largest compressed datagram; a packet of 1,500 bytes has 1,472 for it. */
--- a/packages/daemon/src/fleet_hosts/create_host_relay.ts
+++ b/packages/daemon/src/fleet_hosts/create_host_relay.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@crocussail/protocol";
 import { HOST_LIMITS } from "./constants.ts";
+import { createReportConfirmation } from "./create_report_confirmation.ts";
 import { createRelayQueue } from "./create_relay_queue.ts";
 import { decideForwarding } from "./decide_forwarding.ts";
 import type { AgedReport, HostDatagram } from "./host_datagram.ts";
@@ -26,7 +27,10 @@
   isRelay(host: string): boolean;
   /** Forwards a received report if this host has to; `isNew` states that it was stored. */
   forwardReport(received: AgedReport, sender: HostDatagram, isNew: boolean): void;
-  /** Takes into account that another host has forwarded a report that is known here already. */
+  /**
+   * Takes into account that another host has forwarded a report that is known here already: one of
+   * this host, or one that this host may have to forward.
+   */
   recordForwarded(identity: ReportIdentity, sender: HostDatagram): void;
   stop(): void;
 }
@@ -64,6 +68,21 @@
     const rank = getLocalRelays().indexOf(localHost.host);
     return rank < 0 ? HOST_LIMITS.relaysPerReport : rank;
   };
+  /** Lists the addresses of the relays of this data centre other than this host, in their order. */
+  const listRelayAddresses = () => {
+    const live = options.listLive();
+    return listLocalRelays().flatMap((relay) =>
+      listAddresses(live.filter(({ host }) => host === relay))
+    );
+  };
+  const confirmation = createReportConfirmation({
+    clock: options.clock,
+    sendToStandby: (reports, relayAddress) =>
+      options.sendReports(
+        listRelayAddresses().filter((address) => address !== relayAddress),
+        reports,
+      ),
+  });
   const queue = createRelayQueue({
     clock: options.clock,
     sendToDataCentre: (reports) =>
@@ -88,8 +107,13 @@
       if (rank < HOST_LIMITS.relaysPerReport) {
         queue.enqueue({ report, ageMs: 0, scope: "fleet", rank });
       }
-      const relays = listLocalRelays();
-      return listAddresses(options.listLive().filter(({ host }) => relays.includes(host)));
+      const addresses = listRelayAddresses();
+      const [first] = addresses;
+      if (rank === 0 || first === undefined || confirmation.isSilent(first)) {
+        return addresses;
+      }
+      confirmation.recordSent(report, first);
+      return [first];
     },
     isRelay: (host) => listLocalRelays().includes(host),
     forwardReport: (received, sender, isNew) => {
@@ -104,16 +128,32 @@
       if (sender.senderDataCentre === localHost.dataCentre && !isFromOrigin) {
         queue.dropForwarded(report);
       }
-      const scope = decideForwarding(arrival);
+      // The first relay itself sends its own report to all hosts.
+      const isOfFirstRelay = isFromOrigin && getLocalRelays()[0] === report.host;
+      const scope = isOfFirstRelay ? "none" : decideForwarding(arrival);
       if (isNew && scope !== "none") {
-        queue.enqueue({ ...received, scope, rank: computeRank() });
+        queue.enqueue({
+          ...received,
+          scope,
+          rank: computeRank(),
+          // A host that has waited for the first relay in vain sends its report to the others.
+          waitedMs: isFromOrigin ? received.ageMs : 0,
+        });
       }
     },
     recordForwarded: (identity, sender) => {
-      if (sender.senderDataCentre === localHost.dataCentre) {
-        queue.dropForwarded(identity);
+      if (sender.senderDataCentre !== localHost.dataCentre) {
+        return;
       }
+      // A relay that stands by has its own reports in the queue too.
+      queue.dropForwarded(identity);
+      if (identity.host === localHost.host) {
+        confirmation.recordForwarded(identity, sender.senderAddress);
+      }
+    },
+    stop: () => {
+      queue.stop();
+      confirmation.stop();
     },
-    stop: () => queue.stop(),
   };
 }
--- a/packages/daemon/src/fleet_hosts/create_relay_queue.ts
+++ b/packages/daemon/src/fleet_hosts/create_relay_queue.ts
@@ -30,6 +30,8 @@
 export interface RelayEntry extends AgedReport {
   readonly scope: Exclude<ForwardingScope, "none">;
   readonly rank: number;
+  /** Time for which the first relay has had the report and not forwarded it. */
+  readonly waitedMs?: number;
 }
 
 interface PendingEntry {
@@ -53,9 +55,8 @@
   let timer: { readonly timer: Timer; readonly dueMs: number } | undefined;
   let lastFlushMs = Number.NEGATIVE_INFINITY;
 
-  const scheduleFlush = () => {
-    const dueMs = Math.min(...[...pending.values()].map((entry) => entry.dueMs));
-    if (!Number.isFinite(dueMs) || (timer !== undefined && timer.dueMs <= dueMs)) {
+  const scheduleFlush = (dueMs: number) => {
+    if (timer !== undefined && timer.dueMs <= dueMs) {
       return;
     }
     timer?.timer.cancel();
@@ -75,27 +76,30 @@
     options.sendToRelays(due.filter(({ scope }) => scope === "fleet").map(addAge));
     due.forEach(({ report }) => pending.delete(report.host));
     lastFlushMs = due.length > 0 ? nowMs : lastFlushMs;
-    scheduleFlush();
+    if (pending.size > 0) {
+      scheduleFlush(Math.min(...[...pending.values()].map(({ dueMs }) => dueMs)));
+    }
   };
 
   return {
-    enqueue: ({ report, ageMs, bytes, scope, rank }) => {
+    enqueue: ({ report, ageMs, bytes, scope, rank, waitedMs = 0 }) => {
       const nowMs = clock.readMonotonicMs();
       const known = pending.get(report.host);
       const isRegular = report.conduct !== null;
       const batchMs = isRegular ? HOST_LIMITS.regularRelayMs : HOST_LIMITS.reportDelayMs;
       const dueMs = rank === 0
         ? Math.max(nowMs + batchMs, lastFlushMs + HOST_LIMITS.minRelayIntervalMs)
-        : nowMs + rank * HOST_LIMITS.relayTakeoverMs;
-      pending.set(report.host, {
+        : nowMs + Math.max(0, rank * HOST_LIMITS.relayTakeoverMs - waitedMs);
+      const entry: PendingEntry = {
         report: known === undefined ? report : mergeReports(known.report, report),
         bytes: known === undefined ? bytes : undefined,
         scope: known?.scope === "fleet" ? "fleet" : scope,
         sentAtMs: nowMs - ageMs,
         dueMs: Math.min(known?.dueMs ?? Number.POSITIVE_INFINITY, dueMs),
         rank,
-      });
-      scheduleFlush();
+      };
+      pending.set(report.host, entry);
+      scheduleFlush(entry.dueMs);
     },
     dropForwarded: ({ host, incarnation, sequence }) => {
       const known = pending.get(host)?.report;
