--- a/bench/src/control/classify_datagram.ts
+++ b/bench/src/control/find_datagram_kind.ts
@@ -7,8 +7,8 @@
   | "batch to another data centre"
   | "unreadable";
 
-/** Classifies a datagram that one host sends to another; data centres are compared by number. */
-export function classifyDatagram(
+/** Finds the kind of a datagram that one host sends to another; data centres are compared by number. */
+export function findDatagramKind(
   datagram: Uint8Array,
   key: string,
   isBetweenDataCentres: boolean,
--- a/bench/src/control/measure_control.ts
+++ b/bench/src/control/measure_control.ts
@@ -1,8 +1,8 @@
 import process from "node:process";
 import { createSeededRandom } from "@crocussail/daemon";
 import { createTestFleet } from "@crocussail/daemon/fleet_hosts";
-import { classifyDatagram } from "./classify_datagram.ts";
-import type { DatagramKind } from "./classify_datagram.ts";
+import { findDatagramKind } from "./find_datagram_kind.ts";
+import type { DatagramKind } from "./find_datagram_kind.ts";
 
 /** Size and load of a measured fleet. */
 export interface ControlLoad {
@@ -108,7 +108,7 @@
   run(load.seconds);
   const byKind = new Map<DatagramKind, { datagrams: number; bytes: number }>();
   for (const { isBetween, datagram } of sent) {
-    const kind = classifyDatagram(datagram, KEY, isBetween);
+    const kind = findDatagramKind(datagram, KEY, isBetween);
     const count = byKind.get(kind) ?? { datagrams: 0, bytes: 0 };
     byKind.set(kind, { datagrams: count.datagrams + 1, bytes: count.bytes + datagram.length });
   }
--- a/packages/daemon/src/fleet_hosts/is_host_report_test.ts
+++ b/packages/daemon/src/fleet_hosts/is_host_report_test.ts
@@ -86,7 +86,7 @@
 }
 
 /** Compares the check with the schema; fields that are absent have been given their defaults. */
-function expectSameResult(report: Readonly<Record<keyof HostReport, unknown>>): void {
+function compareWithSchema(report: Readonly<Record<keyof HostReport, unknown>>): void {
   const hasDefaults = ["protocolVersion", "evacuations", "cold", "waiting"] as const;
   if (hasDefaults.every((field) => report[field] !== undefined)) {
     expect(isHostReport(report)).to.equal(hostReportSchema.safeParse(report).success);
@@ -103,7 +103,7 @@
     for (const field of HOST_REPORT_FIELDS) {
       for (const value of ODD_VALUES) {
         listAlterations(field, value).forEach((altered) => {
-          expectSameResult({ ...VALID, [field]: altered });
+          compareWithSchema({ ...VALID, [field]: altered });
         });
       }
     }
@@ -113,7 +113,7 @@
     fc.assert(fc.property(
       fc.constantFrom(...HOST_REPORT_FIELDS),
       fc.anything(),
-      (field, value) => expectSameResult({ ...VALID, [field]: value }),
+      (field, value) => compareWithSchema({ ...VALID, [field]: value }),
     ));
   });
 });
