--- a/packages/protocol/src/glossary.ts
+++ b/packages/protocol/src/glossary.ts
@@ -58,6 +58,12 @@
     meaning:
       "The attempt of a daemon to obtain an order key from the key's replicas; only with grants of a majority may it send the order",
   },
+  {
+    term: "cold upstream",
+    fieldTerm: "warm-up, slow start",
+    meaning:
+      "An upstream that crashes under many requests for a time after its start, or at another moment that it names",
+  },
   {
     term: "decode",
     fieldTerm: "",
@@ -85,6 +91,12 @@
     fieldTerm: "service discovery",
     meaning: "The response to `GET /v1/entry`, which lists the hosts for a caller to use",
   },
+  {
+    term: "evacuation",
+    fieldTerm: "zone drain",
+    meaning:
+      "A published request that nothing be sent to the upstreams of a data centre until it is withdrawn",
+  },
   {
     term: "execution state",
     fieldTerm: "",
@@ -101,6 +113,12 @@
     meaning:
       "The settings revision in a placement order; an engine that checks it refuses orders with a lower one",
   },
+  {
+    term: "fill share",
+    fieldTerm: "water-filling",
+    meaning:
+      "The part of the requests placed at one time that an upstream receives if the cheapest ones are filled first",
+  },
   {
     term: "gateway",
     fieldTerm: "reverse proxy",
@@ -216,6 +234,11 @@
     meaning:
       "A host that an order key names and that records the key's claim and outcome; in `models/` settings, an engine that should serve the model",
   },
+  {
+    term: "resumable stream",
+    fieldTerm: "",
+    meaning: "A stream of a route that may run again at any engine after the last event received",
+  },
   {
     term: "resume token",
     fieldTerm: "cursor",
