Order waiting generations over all hosts, reserve room, refuse early

Cause: each host ordered its own queue, a new request was tried at once although others waited, and whichever request fitted went first. In bursts large requests waited until their time was over, an urgent request lost to a less urgent one at an idle host, and requests that could not be served were held for 1.8 to 10 s before they were refused.

Change: new slice waiting/ with the order (in time, priority, class of slack, share of account and kind, arrival), room reserved for each request that precedes others, also for those that other hosts report in `waiting`, and a refusal with 503 and the time until room is expected when the tokens ahead exceed what becomes free in time. forwarding/create_wait_queue.ts moves to waiting/. While nothing waits here or in a current report, a request takes the same way as before and nothing is reported. Events 8075 to 8077, metrics waiting.*.

--- a/packages/daemon/src/forwarding/choose_generation_upstream.ts
+++ b/packages/daemon/src/forwarding/choose_generation_upstream.ts
@@ -8,6 +8,8 @@
 } from "../balancing/mod.ts";
 import type { InFlightRequest, UpstreamCandidate } from "../balancing/mod.ts";
 import { listUsableUpstreams } from "../upstreams/mod.ts";
+import type { Upstream } from "../upstreams/mod.ts";
+import type { PlacementTurn } from "../waiting/mod.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 
@@ -32,6 +34,8 @@
   readonly among: "unlimited" | "limited" | "preferUnlimited";
   /** Upstreams that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
+  /** Engines beside the requests that wait and precede this one; undefined if none waits. */
+  readonly turn?: PlacementTurn;
   /** Data centre of the engine that the KV cache is copied from. */
   readonly nearDataCentre?: string;
 }
@@ -63,14 +67,18 @@
   }
   const nowMs = context.clock.readMonotonicMs();
   const isLimited = choice.among === "limited";
-  const usable = listUsableUpstreams(context.upstreams, service.name, nowMs).filter(({ record }) =>
+  const isCandidate = ({ record }: Upstream) =>
     !choice.excluded.has(record.id) &&
-    (context.limits.getLimit(record) !== undefined) === isLimited
-  );
-  if (usable.length === 0) {
-    return undefined; // the loads of all hosts need not be summed up
+    (context.limits.getLimit(record) !== undefined) === isLimited;
+  const usable = choice.turn === undefined
+    ? listUsableUpstreams(context.upstreams, service.name, nowMs).filter(isCandidate)
+    : [];
+  const candidates = choice.turn?.candidates.filter(({ upstream }) => isCandidate(upstream)) ??
+    // Without upstreams the loads of all hosts need not be summed up.
+    (usable.length === 0 ? [] : listCandidates(context.loads, usable, nowMs));
+  if (candidates.length === 0) {
+    return undefined;
   }
-  const candidates = listCandidates(context.loads, usable, nowMs);
   return chooseEngine(candidates, {
     random: context.random,
     costTolerance: computeCostTolerance(context.countHostsSharingRetryBudget()),
@@ -79,7 +87,7 @@
     outputTokens: purpose === "copy" ? 0 : estimateRemainingTokens(choice.inFlight),
     memoryTokens: estimateMemoryTokens(choice.inFlight),
     memoryShare: MEMORY_SHARES[purpose],
-    firstTokenMs: purpose === "start"
+    firstTokenMs: purpose === "start" && choice.turn?.isLate !== true
       ? computeFirstTokenMs(choice.request, nowMs)
       : Number.POSITIVE_INFINITY,
     ...(choice.nearDataCentre === undefined ? {} : { nearDataCentre: choice.nearDataCentre }),
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -70,6 +70,4 @@
   maxLimitedCandidates: 8,
   /** Priority of generations that resume: they come before any that starts. */
   resumePriority: -1,
-  /** Maximum length of this host's wait queue; generations beyond it are refused. */
-  maxQueued: 256,
 } as const;
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -1,17 +1,18 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Timer } from "@crocussail/protocol";
-import { estimateRemainingTokens } from "../balancing/mod.ts";
+import { computeLocalLoads, estimateRemainingTokens } from "../balancing/mod.ts";
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { chooseService } from "../routes/mod.ts";
 import type { RouteSettings } from "../routes/mod.ts";
 import type { AcceptedHandover } from "../handover/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
+import { createWaitQueue } from "../waiting/mod.ts";
+import type { WaitQueue } from "../waiting/mod.ts";
 import type { CallerReply } from "./caller_reply.ts";
 import { checkRequest } from "./check_request.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createCallerReply } from "./create_caller_reply.ts";
-import { createWaitQueue } from "./create_wait_queue.ts";
 import { digestForwardedRequest } from "./digest_forwarded_request.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
@@ -19,8 +20,10 @@
 import { readBody } from "./read_body.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { isHeldBack } from "./is_held_back.ts";
+import { listEngineRoom } from "./list_engine_room.ts";
 import { listPartKeys } from "./list_part_keys.ts";
 import { migrateGeneration } from "./migrate_generation.ts";
+import { recordFreedRoom } from "./record_freed_room.ts";
 import { REFUSAL_DETAILS } from "./refusal_details.ts";
 import type { RefusalCode } from "./refusal_details.ts";
 import { runGeneration } from "./run_generation.ts";
@@ -45,6 +48,8 @@
   ): Promise<void>;
   /** Migrates the generations that run on a draining upstream. */
   migrateFrom(upstream: Upstream): void;
+  /** Lists the requests that wait for room, for this host's report. */
+  listWaiting: WaitQueue["listReported"];
   countRunning(): number;
   /** Counts the requests, arriving ones included, whose response has not been sent completely. */
   countOpen(): number;
@@ -65,13 +70,22 @@
 export function createForwarder(options: ForwarderOptions): Forwarder {
   const { context } = options;
   const { clock, logger, metrics } = context;
-  const waitQueue = createWaitQueue();
+  const waitQueue = createWaitQueue({
+    random: context.random,
+    logger,
+    metrics,
+    listRoom: (service) => listEngineRoom(context, options.readSettings()?.services.get(service)),
+    fleet: context.fleetWaiting,
+    roomRate: context.roomRate,
+    reportChange: context.reportLoadChange,
+  });
   const runs = new Set<GenerationRun>();
   let running = 0;
   let open = 0;
   let bufferedBytes = 0;
   let timer: Timer | undefined;
   let isIdle = false;
+  let lastLoads = computeLocalLoads(context.loads);
 
   const migrateNext = (upstreamId: string) => {
     const affected = [...runs].filter((run) => run.upstream?.record.id === upstreamId);
@@ -137,6 +151,9 @@
   };
   const tick = () => {
     const nowMs = clock.readMonotonicMs();
+    const localLoads = computeLocalLoads(context.loads);
+    recordFreedRoom(context, lastLoads, localLoads);
+    lastLoads = localLoads;
     for (const run of [...runs]) {
       checkRun(run, nowMs);
     }
@@ -345,6 +362,7 @@
   return {
     handleRequest,
     migrateFrom: (upstream) => migrateNext(upstream.record.id),
+    listWaiting: waitQueue.listReported,
     countRunning: () => running,
     countOpen: () => open,
     start: () => tick(),
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -10,6 +10,7 @@
 import type { RetryBudgetLimits, RetryBudgetState } from "../retries/mod.ts";
 import type { UpstreamLimits } from "../upstream_limits/mod.ts";
 import type { UpstreamState } from "../upstreams/mod.ts";
+import type { FleetWaiting, RoomRate } from "../waiting/mod.ts";
 
 /** Dependencies of forwarding; the states are shared with the slices that update them. */
 export interface ForwardingContext {
@@ -47,6 +48,10 @@
     PromptPartQuarantine,
     "isQuarantined" | "isSuspected" | "recordCrash" | "recordSound"
   >;
+  /** Requests that wait for room at the other hosts. */
+  readonly fleetWaiting: Pick<FleetWaiting, "listHeads">;
+  /** Rate at which the memory of engines becomes free over all hosts. */
+  readonly roomRate: RoomRate;
   readonly budgetLimits: RetryBudgetLimits;
   /** Retry budgets by service. */
   readonly budgets: Map<string, RetryBudgetState>;
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -4,6 +4,7 @@
 import { decideRetry, hasNotExecuted } from "../retries/mod.ts";
 import { findShortestPause, listUsableUpstreams } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
+import type { PlacementTurn, WaitQueue, WaitQueueEntry } from "../waiting/mod.ts";
 import { getServiceBudget } from "./get_service_budget.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import { computeMaxWait } from "./compute_max_wait.ts";
@@ -11,8 +12,8 @@
 import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createLimitedStart } from "./create_limited_start.ts";
+import { describeWaitingRequest } from "./describe_waiting_request.ts";
 import { createGenerationStream } from "./create_generation_stream.ts";
-import type { WaitQueue } from "./create_wait_queue.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
@@ -143,6 +144,7 @@
     };
     context.loads.inFlightRequests.set(request.requestId, inFlight);
     context.reportLoadIncrease();
+    options.waitQueue.recordStart(describeWaitingRequest(request), nowMs);
     if (unexecutedAttempts > 0) {
       budget.countRetry();
     }
@@ -170,7 +172,7 @@
     );
   };
 
-  const tryPlace = () => {
+  const tryPlace = (turn?: PlacementTurn) => {
     if (run.phase !== "waiting") {
       return true;
     }
@@ -178,7 +180,11 @@
       refuseHeldBack();
       return true;
     }
-    const chosen = chooseGenerationUpstream(context, { ...describeChoice(), among: "unlimited" });
+    const chosen = chooseGenerationUpstream(context, {
+      ...describeChoice(),
+      among: "unlimited",
+      ...(turn === undefined ? {} : { turn }),
+    });
     if (chosen !== undefined) {
       limitedStart.cancel();
       startAttempt(chosen);
@@ -204,11 +210,11 @@
     request.reply.refuse("requestHeldBack", REFUSAL_DETAILS.requestHeldBack, quarantineMs);
     run.finish("heldBack");
   };
-  const refuseQueued = (detail: string) => {
+  const refuseQueued = (detail: string, retryAfterMs = computeRetryAfter(context.random)) => {
     if (run.phase !== "waiting") {
       return; // a permit has come in the meantime
     }
-    request.reply.refuse("noRoomInTime", detail, computeRetryAfter(context.random));
+    request.reply.refuse("noRoomInTime", detail, retryAfterMs);
     run.finish("refused");
   };
 
@@ -255,7 +261,10 @@
       startLimitedOrQueue(nowMs).catch(options.reportFault);
       return;
     }
-    if (!tryPlace()) {
+    const isPlaced = options.waitQueue.isContested(request.service.name, nowMs)
+      ? options.waitQueue.placeNew(describeWaiting(), nowMs)
+      : tryPlace();
+    if (!isPlaced) {
       enqueue(nowMs);
     }
   };
@@ -276,7 +285,6 @@
   };
 
   const enqueue = (nowMs: number) => {
-    const { targetMs } = request.route;
     const waitMs = computeMaxWait(request);
     const { name } = request.service;
     const pauseMs = findShortestPause(context.upstreams, name, nowMs, excluded) ?? Infinity;
@@ -287,18 +295,18 @@
       run.finish("noUpstreamLeft");
       return;
     }
-    const isAdded = options.waitQueue.add({
-      priority: request.priority,
-      arrivedAtMs: request.arrivedAtMs,
-      targetDeadlineAtMs: request.arrivedAtMs + targetMs,
-      expiresAtMs: request.arrivedAtMs + waitMs,
-      tryPlace,
-      expire: () => refuseQueued("no engine had room within the maximum wait"),
-    });
-    if (!isAdded) {
+    if (!options.waitQueue.add(describeWaiting())) {
       refuseQueued("the wait queue of this host is full");
     }
   };
+  const describeWaiting = (): WaitQueueEntry => ({
+    ...describeWaitingRequest(request),
+    isWaiting: () => run.phase === "waiting",
+    tryPlace,
+    expire: () => refuseQueued("no engine had room within the maximum wait"),
+    refuse: (retryAfterMs) =>
+      refuseQueued("no engine is expected to have room within the maximum wait", retryAfterMs),
+  });
 
   request.reply.onDisconnect(() => {
     context.logger.writeEvent("callerLeft", { request: request.requestId });
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -3,13 +3,14 @@
 import { createBrittleUpstreams } from "../brittle_upstreams/mod.ts";
 import { chooseAddresses, createFleetHosts, HOST_LIMITS } from "../fleet_hosts/mod.ts";
 import type { LocalReport } from "../fleet_hosts/mod.ts";
-import { createForwarder } from "../forwarding/mod.ts";
+import { createForwarder, recordFreedRoom } from "../forwarding/mod.ts";
 import type { Forwarder } from "../forwarding/mod.ts";
 import { acceptHandover, createHandover } from "../handover/mod.ts";
 import { createPromptPartQuarantine, createQuarantine } from "../quarantine/mod.ts";
 import { createReachability } from "../reachability/mod.ts";
 import { createUpstreamLimits } from "../upstream_limits/mod.ts";
 import { findUpstreamAt, getPauseMs } from "../upstreams/mod.ts";
+import { createFleetWaiting, createRoomRate } from "../waiting/mod.ts";
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
@@ -50,6 +51,8 @@
   const incarnation = random.nextHex(INCARNATION_BYTES);
   const peerAddress = `${config.host.address}:${config.listen.peerPort}`;
   const loads = createLoadState();
+  const fleetWaiting = createFleetWaiting();
+  const roomRate = createRoomRate();
   const seedAddresses = listSeedAddresses(config.peers.seeds, config.listen.peerPort);
   let isLeaving = false;
   let leavingSinceMs = Number.POSITIVE_INFINITY;
@@ -109,7 +112,7 @@
     protocolVersion: PROTOCOL_VERSION,
     evacuations: [],
     cold: [],
-    waiting: [],
+    waiting: forwarder.listWaiting(clock.readMonotonicMs()).map((entry) => [...entry]),
   });
   const hosts = createFleetHosts({
     clock,
@@ -124,7 +127,11 @@
     buildReport: describeHost,
     applyReport: ({ report, ageMs }) => {
       const sentAtMs = clock.readMonotonicMs() - ageMs;
-      loads.peers.set(report.host, readPeerLoads(loads, report, sentAtMs));
+      const peerLoads = readPeerLoads(loads, report, sentAtMs);
+      const known = loads.peers.get(report.host)?.loads ?? new Map();
+      recordFreedRoom({ upstreams: upstreams.state, roomRate, clock }, known, peerLoads.loads);
+      loads.peers.set(report.host, peerLoads);
+      fleetWaiting.acceptReport(report, sentAtMs);
       applyReportedUpstreams(upstreams, reading, { report, ageMs }, clock.readMonotonicMs());
       limits.acceptReport(report, ageMs);
       brittle.acceptReport(report, ageMs);
@@ -274,6 +281,8 @@
       handover,
       quarantine,
       promptParts,
+      fleetWaiting,
+      roomRate,
       budgetLimits: {
         ratio: config.retries.ratio,
         slack: config.retries.slack,
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -233,4 +233,22 @@
     title: "This host started or stopped reading the upstreams for the fleet",
     action: "none; rank 0 reads most often, 1 stands by, -1 is no reader",
   },
+  requestDeferred: {
+    number: 8075,
+    level: "info",
+    title: "Request that would fit waits in favour of more urgent or older ones of other hosts",
+    action: "none; see 8010 or 8013 of the same request for its end",
+  },
+  roomReserved: {
+    number: 8076,
+    level: "info",
+    title: "Request fits on no engine; the room of the engine closest to enough is kept for it",
+    action: "If many are, the service needs more engines, or engines with more memory",
+  },
+  requestRefusedEarly: {
+    number: 8077,
+    level: "info",
+    title: "Request refused at once, as it could not start in its time",
+    action: "startMs: the expected wait; if many are, the service needs more engines",
+  },
 } as const satisfies Record<string, EventEntry>;
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -125,6 +125,26 @@
     unit: "requests",
     meaning: "Generations queued at this host for capacity at an engine",
   },
+  "waiting.requests": {
+    type: "gauge",
+    unit: "requests",
+    meaning: "Generations queued at this host for capacity at an engine, by tag `priority`",
+  },
+  "waiting.deferred": {
+    type: "counter",
+    unit: "requests",
+    meaning: "Queued generations that fitted and waited in favour of those of other hosts",
+  },
+  "waiting.reserved": {
+    type: "counter",
+    unit: "requests",
+    meaning: "Queued generations that fitted nowhere and reserved room at an engine",
+  },
+  "waiting.refusedEarly": {
+    type: "counter",
+    unit: "requests",
+    meaning: "Queued generations refused because they could not start in their time",
+  },
   "forwarding.repeats": {
     type: "counter",
     unit: "requests",
