Count waiting urgent requests once in the estimate of a start

Cause: the rate for a less urgent request was that left by urgent ones, and the urgent requests that wait were divided by it too, so they were counted twice and more was refused than had to be.

Change: urgent tokens ahead are divided by the whole rate, the others by what urgent ones leave. The loads of the engines are summed once for each check.

--- a/packages/daemon/src/waiting/create_wait_queue.ts
+++ b/packages/daemon/src/waiting/create_wait_queue.ts
@@ -152,11 +152,11 @@
    */
   const placeFirst = (
     service: string,
+    room: EngineRoom | undefined,
     requests: readonly QueuedRequest[],
     nowMs: number,
     only?: QueuedRequest,
   ): QueuedRequest | undefined => {
-    const room = options.listRoom(service);
     if (room === undefined || room.candidates.length === 0) {
       const isPlaced = (request: QueuedRequest) =>
         request.entry.tryPlace({ candidates: [], isLate: false });
@@ -185,25 +185,24 @@
   };
 
   /** Refuses the requests that cannot start before they expire. */
-  const refuseHopeless = (service: string, nowMs: number) => {
+  const refuseHopeless = (service: string, room: EngineRoom | undefined, nowMs: number) => {
     const tokensPerMs = options.roomRate.getTokensPerMs(service, nowMs);
-    const room = options.listRoom(service);
     if (tokensPerMs === undefined || room === undefined || room.candidates.length === 0) {
       return;
     }
     const heads = fleet.listHeads(service, nowMs, WAITING_LIMITS.countedReportMs);
     const own = queued.filter((request) => request.service === service);
     const refused = new Set<QueuedRequest>();
-    let aheadTokens = 0;
+    const aheadTokens = new Map<number, number>();
     for (const { request, isLate, slackMs } of order(own, room, nowMs)) {
-      const urgent = urgentShare.getShareBefore(request.priority, nowMs);
       const startMs = estimateStart(request, {
-        ...{ isLate, aheadTokens, heads, nowMs },
-        tokensPerMs: tokensPerMs * (1 - urgent),
+        ...{ isLate, aheadTokens, heads, tokensPerMs, nowMs },
+        urgentShare: urgentShare.getShareBefore(request.priority, nowMs),
       });
       const leftMs = isLate ? request.expiresAtMs - nowMs : slackMs * WAITING_LIMITS.maxStartShare;
       if (startMs <= leftMs) {
-        aheadTokens += request.memoryTokens;
+        const { priority, memoryTokens } = request;
+        aheadTokens.set(priority, (aheadTokens.get(priority) ?? 0) + memoryTokens);
         continue;
       }
       refused.add(request);
@@ -285,7 +284,9 @@
       const request = createQueued(entry);
       const own = queued.filter(({ service }) => service === entry.service);
       updateShare(shares, entry, own);
-      const isPlaced = placeFirst(entry.service, [...own, request], nowMs, request) !== undefined;
+      const room = options.listRoom(entry.service);
+      const isPlaced =
+        placeFirst(entry.service, room, [...own, request], nowMs, request) !== undefined;
       if (isPlaced) {
         recordPlaced(request);
       }
@@ -303,12 +304,13 @@
       queued = queued.filter(({ entry }) => entry.isWaiting());
       for (const service of new Set(queued.map((request) => request.service))) {
         const own = queued.filter((request) => request.service === service);
-        const placed = placeFirst(service, own, nowMs);
+        const room = options.listRoom(service);
+        const placed = placeFirst(service, room, own, nowMs);
         if (placed !== undefined) {
           queued = queued.filter((request) => request !== placed);
           recordPlaced(placed);
         }
-        refuseHopeless(service, nowMs);
+        refuseHopeless(service, room, nowMs);
       }
       expire(nowMs);
       reportFirst(nowMs);
