End refusals by an owner that grants nothing with the cold time

A host that sees less than a quarter of the fleet grants nothing for cold upstreams. For one that also names a limit, it refused with an endless time, which reached callers as Retry-After and kept this host from asking for a permit again after the cold time.

--- a/packages/daemon/src/upstream_limits/cold_upstreams_test.ts
+++ b/packages/daemon/src/upstream_limits/cold_upstreams_test.ts
@@ -318,6 +318,22 @@
     expect(countAt(mixed.arrivals)).to.equal(0);
   });
 
+  // Guards against endless delays from an owner that grants nothing, and against an upstream that is
+  // not asked for a permit any more after its cold time.
+  it("that also names a limit is refused with the end of the cold time by a host cut off from most others", async () => {
+    const fleet = await createColdFleet({ hosts: 6, named: 10 });
+    await fleet.run(SETTLE_MS);
+    fleet.cut.add(0);
+    await fleet.run(5_000);
+    await fleet.runLoad({ seconds: 1, chooseHost: () => 0 });
+    expect(fleet.counts.refused).to.be.greaterThan(0);
+    expect(fleet.counts.largestRetryMs).to.be.at.most(11_000);
+    fleet.cut.delete(0);
+    fleet.endColdTime();
+    await fleet.run(2_000);
+    expect(fleet.getLimits(0).getFreeInMs(getUpstream(0))).to.equal(0);
+  });
+
   it("adds no datagram and no reported limit while nobody sends a request there", async () => {
     const cold = await createColdFleet({ hosts: 6 });
     const warm = await createColdFleet({ hosts: 6 });
--- a/packages/daemon/src/upstream_limits/create_upstream_limits.ts
+++ b/packages/daemon/src/upstream_limits/create_upstream_limits.ts
@@ -269,11 +269,15 @@
     { freeInMs, retryAfterMs }: Pick<PermitRefusal, "freeInMs" | "retryAfterMs">,
   ): PermitRefusal => {
     const untilMs = cold.getCold(upstream)?.untilMs;
-    if (untilMs === undefined || table.getLimit(upstream) !== undefined) {
+    const isNamed = table.getLimit(upstream) !== undefined;
+    // An owner that grants nothing for cold upstreams grants the named limit after the cold time.
+    const isUngranted = freeInMs >= MAX_DELAY_MS;
+    if (untilMs === undefined || (isNamed && !isUngranted)) {
       return { type: "refused", freeInMs, retryAfterMs };
     }
     const leftMs = Math.max(0, untilMs - clock.readMonotonicMs());
-    const spreadMs = random.nextFloat() * PERMIT_LIMITS.coldReturnSpreadMs;
+    const spreadMs = random.nextFloat() *
+      (isNamed ? PERMIT_LIMITS.returnSpreadMs : PERMIT_LIMITS.coldReturnSpreadMs);
     return {
       type: "refused",
       freeInMs: Math.min(freeInMs, leftMs),
