--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -44,7 +44,7 @@
   run.isMigrating = true;
   try {
     const isFromBackup = await tryBackupCopy(context, run, reason);
-    const hasMigrated = isFromBackup || (canMove && await migrateCache(context, run));
+    const hasMigrated = isFromBackup || (canMove && await migrateCache(context, run, reason));
     const end = isFromBackup ? "fromCopy" : hasMigrated ? "copied" : "failed";
     context.metrics.increment("forwarding.moves", 1, { end, reason });
   } finally {
@@ -79,7 +79,11 @@
   }
 }
 
-async function migrateCache(context: ForwardingContext, run: GenerationRun): Promise<boolean> {
+async function migrateCache(
+  context: ForwardingContext,
+  run: GenerationRun,
+  reason: MigrationReason,
+): Promise<boolean> {
   const source = run.upstream;
   const { stream } = run;
   const excluded = new Set<string>();
@@ -90,6 +94,9 @@
     if (!isCallable(context, source) || run.stream !== stream) {
       return false; // too late to copy, or it has failed and runs at another engine since
     }
+    if (reason === "evacuating" && !hasToLeave(context, source)) {
+      return false; // the evacuation has been withdrawn
+    }
     const target = chooseGenerationUpstream(context, {
       request: run.request,
       purpose: "move",
@@ -233,6 +240,11 @@
   return !isPastLastCall(learntAtMs, context.clock.readMonotonicMs());
 }
 
+/** Whether generations still have to leave an upstream of which an evacuation has been noticed. */
+function hasToLeave({ upstreams }: ForwardingContext, { record }: Upstream): boolean {
+  return isEvacuated(upstreams, record) || upstreams.upstreams.get(record.id)?.status === "leaving";
+}
+
 function releaseBufferedEvents(
   context: ForwardingContext,
   run: GenerationRun,
