Count no memory at an engine that has refused a moved generation

The target of a failed move stayed in the load of the generation, which may run on for long in an evacuated data centre; the target looked fuller than it was to all hosts.

--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -160,7 +160,12 @@
   if (run.phase !== "ended" && run.stream !== stream) {
     return false; // it has failed and runs at another engine since
   }
-  return run.phase === "ended" || await tryResume(context, run, target, cacheSource, "move");
+  const hasResumed = run.phase === "ended" ||
+    await tryResume(context, run, target, cacheSource, "move");
+  if (!hasResumed) {
+    inFlight.moveUpstreamId = undefined;
+  }
+  return hasResumed;
 }
 
 /**
