Let a stream that is run again wait for the end of a cold time

When all engines left are cold, its permit may be expected later than it can wait. It was cut at once, although the cold time, after which no permit is needed, often ends earlier.

--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -425,6 +425,10 @@
       enqueue(endMs);
       return;
     }
+    if (run.executedAttempts > 0 && endMs + retryAfterMs < computeWaitEnd()) {
+      enqueue(endMs); // it would be cut, not refused; the engines may be warm before its time is over
+      return;
+    }
     refuse("limited", "limitReached", REFUSAL_DETAILS.limitReached, retryAfterMs);
   };
   const computeWaitEnd = () =>
