Do not resume a run that has ended, nor bound a run again by its former wait

Cause, found by reading: a slow caller ends a run while buffered events are sent, and its failed source then resumed it; an entry of a wait that a permit had ended stayed queued and could expire a later wait; more than three migrations in progress let nearly all others of an engine start at once.

Change: a check of the phase, a new number for the wait, and a lower bound of 0 for free migrations.

Result: the tests of resumable streams and moves pass; these three have no test of their own.

--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -86,7 +86,8 @@
         run.phase === "running" && !run.isMigrating && run.inFlight?.isPrefilling === false
       )
       .sort((left, right) => estimateRemaining(right) - estimateRemaining(left));
-    for (const run of waiting.slice(0, FORWARDING_LIMITS.maxMigrationsPerUpstream - migrating)) {
+    const free = Math.max(0, FORWARDING_LIMITS.maxMigrationsPerUpstream - migrating);
+    for (const run of waiting.slice(0, free)) {
       migrateGeneration(context, run, "draining").catch((error) => reportFault(run.request, error));
     }
   };
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -99,6 +99,9 @@
     silenceCheckAtMs: 0,
     isMigrating: false,
     restore: (reason, cause = "brokenStream") => {
+      if (run.phase === "ended") {
+        return; // sending buffered events may have ended it because its caller is slow
+      }
       run.executedAttempts++;
       lastFailure = undefined;
       restoreGeneration(context, run, reason, cause);
@@ -212,6 +215,7 @@
 
   /** Stops the former run and places the generation on another engine, after its last event. */
   const startAgain = (reason: string, cause: RerunCause) => {
+    queueEntries++; // an entry of the wait before the former run would expire too early
     const upstreamId = run.upstream?.record.id ?? "none";
     tried.add(upstreamId);
     if (run.stream !== undefined) {
