Keep the version and new fields of reports across relays of the former build

The incarnation, which all builds forward, now carries the version; hosts that keep all fields rank first as relays; a whole report replaces a partial one of the same sequence.

--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -31,7 +31,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly openSocket: OpenDatagramSocket;
-  /** Name, data centre and size of this host. */
+  /** Name, data centre, size and protocol version of this host. */
   readonly localHost: RelayCandidate;
   readonly peerAddress: string;
   readonly fleetKey: string;
@@ -133,9 +133,10 @@
     if (host === localHost.host) {
       return incarnation === localIncarnation;
     }
-    const known = state.hosts.get(host)?.report;
-    return known?.incarnation === incarnation && known.sequence >= sequence &&
-      known.peerAddress !== senderAddress;
+    const known = state.hosts.get(host);
+    const report = known?.report;
+    return report?.incarnation === incarnation && report.peerAddress !== senderAddress &&
+      (report.sequence > sequence || (report.sequence === sequence && known?.isPartial !== true));
   };
   const receive = (bytes: Uint8Array) => {
     const datagram = decodeHostDatagram(bytes, options.fleetKey, isKnown);
@@ -150,7 +151,7 @@
     }
   };
   const acceptReport = (received: AgedReport, sender: HostDatagram) => {
-    const { report, ageMs } = received;
+    const { report, ageMs, isPartial } = received;
     if (report.peerAddress === options.peerAddress) {
       return;
     }
@@ -158,7 +159,7 @@
     const isNew = state.hosts.get(report.host)?.report.incarnation !== report.incarnation;
     const hasRoom = state.addresses.size < HOST_LIMITS.maxHosts;
     const newPeers = hasRoom ? report.peers.filter((address) => !state.addresses.has(address)) : [];
-    const isStored = applyHostReport(state, report, clock.readMonotonicMs() - ageMs);
+    const isStored = applyHostReport(state, report, clock.readMonotonicMs() - ageMs, isPartial);
     if (isMesh()) {
       if (isStored && (isNew || newPeers.length > 0)) {
         schedulePeerList(isNew ? [report.peerAddress, ...newPeers] : newPeers);
@@ -261,10 +262,10 @@
       return;
     }
     knownReportsSentMs.set(target.peerAddress, nowMs);
-    const reports = selectReportsForHost(listLive(), target).map((report) => ({
-      report,
-      ageMs: nowMs - (state.hosts.get(report.host)?.lastReportMs ?? nowMs),
-    }));
+    const reports = selectReportsForHost(listLive(), target).map((report) => {
+      const { lastReportMs = nowMs, isPartial = false } = state.hosts.get(report.host) ?? {};
+      return { report, ageMs: nowMs - lastReportMs, isPartial };
+    });
     sendReports([target.peerAddress], [{ report: buildReport(false), ageMs: 0 }, ...reports]);
   };
 
--- a/packages/daemon/src/fleet_hosts/create_host_relay.ts
+++ b/packages/daemon/src/fleet_hosts/create_host_relay.ts
@@ -5,6 +5,7 @@
 import { decideForwarding } from "./decide_forwarding.ts";
 import type { AgedReport, HostDatagram } from "./host_datagram.ts";
 import type { HostReport } from "./host_report_schema.ts";
+import { isLosslessRelay } from "./is_lossless_relay.ts";
 import { rankRelays } from "./rank_relays.ts";
 import type { RelayCandidate } from "./rank_relays.ts";
 import type { ReportIdentity } from "./read_report_identity.ts";
@@ -56,21 +57,44 @@
   const listLocalRelays = () =>
     rankRelays<RelayCandidate>([localHost, ...options.listLive()], localHost.dataCentre)
       .slice(0, HOST_LIMITS.relaysPerReport).map(({ host }) => host);
-  let cachedRelays = { hosts: listLocalRelays(), untilMs: Number.NEGATIVE_INFINITY };
-  const getLocalRelays = () => {
+  /** Lists the addresses of this data centre's hosts that drop fields of the reports they forward. */
+  const listDroppingAddresses = () =>
+    new Set(listAddresses(
+      options.listRecent().filter((report) =>
+        report.dataCentre === localHost.dataCentre && !isLosslessRelay(report)
+      ),
+    ));
+  let cached = {
+    relays: listLocalRelays(),
+    dropping: listDroppingAddresses(),
+    untilMs: Number.NEGATIVE_INFINITY,
+  };
+  const readCache = () => {
     const nowMs = options.clock.readMonotonicMs();
-    if (nowMs >= cachedRelays.untilMs) {
-      cachedRelays = { hosts: listLocalRelays(), untilMs: nowMs + HOST_LIMITS.relayCacheMs };
+    if (nowMs >= cached.untilMs) {
+      cached = {
+        relays: listLocalRelays(),
+        dropping: listDroppingAddresses(),
+        untilMs: nowMs + HOST_LIMITS.relayCacheMs,
+      };
     }
-    return cachedRelays.hosts;
+    return cached;
+  };
+  const getLocalRelays = () => readCache().relays;
+  const isLossy = ({ senderAddress }: HostDatagram) => readCache().dropping.has(senderAddress);
+  /** Whether the first relay, which ranks before all that drop fields, keeps them. */
+  const hasLosslessRelay = () => {
+    const [first] = getLocalRelays();
+    return first === localHost.host ||
+      options.listLive().some((report) => report.host === first && isLosslessRelay(report));
   };
   const computeRank = () => {
     const rank = getLocalRelays().indexOf(localHost.host);
     return rank < 0 ? HOST_LIMITS.relaysPerReport : rank;
   };
   /** Lists the addresses of the relays of this data centre other than this host, in their order. */
-  const listRelayAddresses = () => {
-    const live = options.listLive();
+  const listRelayAddresses = (isFit: (report: HostReport) => boolean = () => true) => {
+    const live = options.listLive().filter(isFit);
     return listLocalRelays().flatMap((relay) =>
       listAddresses(live.filter(({ host }) => host === relay))
     );
@@ -107,9 +131,13 @@
       if (rank < HOST_LIMITS.relaysPerReport) {
         queue.enqueue({ report, ageMs: 0, scope: "fleet", rank });
       }
+      if (rank === 0) {
+        // This host sends the report to all; a relay that drops fields must not send it as well.
+        return listRelayAddresses(isLosslessRelay);
+      }
       const addresses = listRelayAddresses();
       const [first] = addresses;
-      if (rank === 0 || first === undefined || confirmation.isSilent(first)) {
+      if (first === undefined || confirmation.isSilent(first)) {
         return addresses;
       }
       confirmation.recordSent(report, first);
@@ -126,7 +154,7 @@
         localDataCentre: localHost.dataCentre,
       };
       if (sender.senderDataCentre === localHost.dataCentre && !isFromOrigin) {
-        queue.dropForwarded(report);
+        queue.dropForwarded(report, isLossy(sender));
       }
       // The first relay itself sends its own report to all hosts.
       const isOfFirstRelay = isFromOrigin && getLocalRelays()[0] === report.host;
@@ -146,8 +174,11 @@
         return;
       }
       // A relay that stands by has its own reports in the queue too.
-      queue.dropForwarded(identity);
-      if (identity.host === localHost.host) {
+      const isPartial = isLossy(sender);
+      queue.dropForwarded(identity, isPartial);
+      // Where a relay keeps all fields, only such a one confirms that the report has been forwarded.
+      const isConfirmed = !isPartial || !hasLosslessRelay();
+      if (identity.host === localHost.host && isConfirmed) {
         confirmation.recordForwarded(identity, sender.senderAddress);
       }
     },
--- a/packages/daemon/src/fleet_hosts/create_relay_queue.ts
+++ b/packages/daemon/src/fleet_hosts/create_relay_queue.ts
@@ -21,8 +21,14 @@
    * next ones only what the first has not forwarded in time.
    */
   enqueue(entry: RelayEntry): void;
-  /** Drops a report that another relay has forwarded. */
-  dropForwarded(report: Pick<HostReport, "host" | "incarnation" | "sequence">): void;
+  /**
+   * Drops a report that another relay has forwarded. With `isPartial`, that relay drops fields, and
+   * a report that has them stays.
+   */
+  dropForwarded(
+    report: Pick<HostReport, "host" | "incarnation" | "sequence">,
+    isPartial: boolean,
+  ): void;
   stop(): void;
 }
 
@@ -38,6 +44,7 @@
   readonly report: HostReport;
   /** The report as received, unless it was merged. */
   readonly bytes: Uint8Array | undefined;
+  readonly isPartial: boolean;
   readonly scope: Exclude<ForwardingScope, "none">;
   /** Monotonic time at which the report's host sent it. */
   readonly sentAtMs: number;
@@ -67,9 +74,10 @@
     timer = undefined;
     const nowMs = clock.readMonotonicMs();
     const due = [...pending.values()].filter(({ rank, dueMs }) => rank === 0 || dueMs <= nowMs);
-    const addAge = ({ report, bytes, sentAtMs }: PendingEntry): AgedReport => ({
+    const addAge = ({ report, bytes, isPartial, sentAtMs }: PendingEntry): AgedReport => ({
       report,
       ageMs: nowMs - sentAtMs,
+      isPartial,
       ...(bytes && { bytes }),
     });
     options.sendToDataCentre(due.map(addAge));
@@ -82,7 +90,7 @@
   };
 
   return {
-    enqueue: ({ report, ageMs, bytes, scope, rank, waitedMs = 0 }) => {
+    enqueue: ({ report, ageMs, bytes, isPartial = false, scope, rank, waitedMs = 0 }) => {
       const nowMs = clock.readMonotonicMs();
       const known = pending.get(report.host);
       const isRegular = report.conduct !== null;
@@ -93,6 +101,7 @@
       const entry: PendingEntry = {
         report: known === undefined ? report : mergeReports(known.report, report),
         bytes: known === undefined ? bytes : undefined,
+        isPartial,
         scope: known?.scope === "fleet" ? "fleet" : scope,
         sentAtMs: nowMs - ageMs,
         dueMs: Math.min(known?.dueMs ?? Number.POSITIVE_INFINITY, dueMs),
@@ -101,9 +110,11 @@
       pending.set(report.host, entry);
       scheduleFlush(entry.dueMs);
     },
-    dropForwarded: ({ host, incarnation, sequence }) => {
-      const known = pending.get(host)?.report;
-      if (known?.incarnation === incarnation && known.sequence <= sequence) {
+    dropForwarded: ({ host, incarnation, sequence }, isPartial) => {
+      const entry = pending.get(host);
+      const known = entry?.report;
+      const hasMore = isPartial && entry?.isPartial === false && entry.report.protocolVersion > 0;
+      if (known?.incarnation === incarnation && known.sequence <= sequence && !hasMore) {
         pending.delete(host);
       }
     },
--- a/packages/daemon/src/fleet_hosts/create_report_sender.ts
+++ b/packages/daemon/src/fleet_hosts/create_report_sender.ts
@@ -51,8 +51,8 @@
       if (targets.length === 0 || reports.length === 0) {
         return;
       }
-      const encoded = reports.map(({ report, ageMs, bytes }) => ({
-        bytes: bytes ?? encodeHostReport(report),
+      const encoded = reports.map(({ report, ageMs, bytes, isPartial }) => ({
+        bytes: bytes ?? encodeHostReport(report, isPartial),
         ageMs,
       }));
       const groups = splitReports(encoded, HOST_LIMITS.maxBatchBytes);
--- a/packages/daemon/src/fleet_hosts/decode_host_datagram.ts
+++ b/packages/daemon/src/fleet_hosts/decode_host_datagram.ts
@@ -6,6 +6,7 @@
 import type { HostMessage } from "./host_message.ts";
 import type { HostReport } from "./host_report_schema.ts";
 import { isHostReport } from "./is_host_report.ts";
+import { readIncarnationMark } from "./read_incarnation_mark.ts";
 import { readReportIdentity } from "./read_report_identity.ts";
 import type { ReportIdentity } from "./read_report_identity.ts";
 import { signDatagram } from "./sign_datagram.ts";
@@ -53,11 +54,11 @@
       known.push(identity);
       continue;
     }
-    const report = decodeReport(bytes);
-    if (report === undefined) {
+    const decoded = decodeReport(bytes);
+    if (decoded === undefined) {
       return undefined;
     }
-    reports.push(isKnown === undefined ? { report, ageMs } : { report, ageMs, bytes });
+    reports.push(isKnown === undefined ? { ...decoded, ageMs } : { ...decoded, ageMs, bytes });
   }
   const decoded = { senderAddress, senderDataCentre, reports, messages };
   return isKnown === undefined ? decoded : { ...decoded, known };
@@ -97,16 +98,20 @@
     message[0].length <= 64;
 }
 
-function decodeReport(bytes: Uint8Array): HostReport | undefined {
+function decodeReport(bytes: Uint8Array): Pick<AgedReport, "report" | "isPartial"> | undefined {
   const fields = decodeValue(bytes);
   if (!Array.isArray(fields)) {
     return undefined;
   }
   const report = buildReport(fields);
-  return isHostReport(report) ? report as HostReport : undefined;
+  if (!isHostReport(report)) {
+    return undefined;
+  }
+  const isPartial = fields[24] === undefined && report.protocolVersion !== 0;
+  return { report: report as HostReport, ...(isPartial && { isPartial }) };
 }
 
-/** Names the fields of `HOST_REPORT_FIELDS`; those of later builds have the schema's defaults. */
+/** Names the fields of `HOST_REPORT_FIELDS`; missing ones have the schema's defaults. */
 function buildReport(fields: readonly unknown[]): Record<keyof HostReport, unknown> {
   return {
     host: fields[0],
@@ -133,7 +138,7 @@
     unreachableServices: fields[21],
     notices: fields[22],
     peers: fields[23],
-    protocolVersion: fields[24] === undefined ? 0 : fields[24],
+    protocolVersion: fields[24] === undefined ? readIncarnationMark(fields[1]) : fields[24],
     evacuations: fields[25] === undefined ? [] : fields[25],
     cold: fields[26] === undefined ? [] : fields[26],
     waiting: fields[27] === undefined ? [] : fields[27],
--- a/packages/daemon/src/fleet_hosts/host_datagram.ts
+++ b/packages/daemon/src/fleet_hosts/host_datagram.ts
@@ -6,6 +6,10 @@
 export interface AgedReport {
   readonly report: HostReport;
   readonly ageMs: number;
+  /**
+   * A relay of protocol version 0 has dropped the fields from `protocolVersion` on; missing otherwise.
+   */
+  readonly isPartial?: boolean;
   /** The report as it was received; forwarded unchanged, with the fields of later builds. */
   readonly bytes?: Uint8Array;
 }
--- a/packages/daemon/src/fleet_hosts/host_state.ts
+++ b/packages/daemon/src/fleet_hosts/host_state.ts
@@ -4,6 +4,8 @@
 export interface KnownHost {
   readonly report: HostReport;
   readonly lastReportMs: number;
+  /** A relay has dropped fields of the report, as in an `AgedReport`. */
+  readonly isPartial?: boolean;
 }
 
 /** Other hosts by name, and addresses where hosts may be reachable; at most `maxHosts` of each. */
--- a/packages/daemon/src/fleet_hosts/mod.ts
+++ b/packages/daemon/src/fleet_hosts/mod.ts
@@ -8,5 +8,6 @@
 export { createFleetHosts } from "./create_fleet_hosts.ts";
 export type { FleetHosts, LocalReport, MessageListener } from "./create_fleet_hosts.ts";
 export type { AgedReport } from "./host_datagram.ts";
+export { markIncarnation } from "./mark_incarnation.ts";
 export { createTestFleet } from "./testing/create_test_fleet.ts";
 export type { HostReport } from "./host_report_schema.ts";
--- a/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
+++ b/packages/daemon/src/fleet_hosts/testing/create_test_fleet.ts
@@ -5,10 +5,14 @@
 import type { FleetHosts } from "../create_fleet_hosts.ts";
 import type { AgedReport } from "../host_datagram.ts";
 import type { HostReport } from "../host_report_schema.ts";
+import { markIncarnation } from "../mark_incarnation.ts";
+import { decodeAsFormerHost } from "./decode_as_former_host.ts";
+import { encodeAsFormerHost } from "./encode_as_former_host.ts";
 
 const STEP_MS = 2;
 const LOSS_RATE = 0.01;
 const SEEDS = 3;
+const FLEET_KEY = "0123456789abcdef0123456789abcdef";
 const DISCOVERY_MS = 3_000;
 const LOGGER: Logger = { writeEvent: () => {} };
 const METRICS: Metrics = { increment: () => {}, gauge: () => {}, distribution: () => {} };
@@ -25,6 +29,10 @@
   readonly listLimits?: (index: number) => HostReport["limits"];
   /** Returns what the build of a host knows; 1 by default. */
   readonly getProtocolVersion?: (index: number) => number;
+  /** Whether a host is of the former build, which reads and forwards only the former fields. */
+  readonly isFormerBuild?: (index: number) => boolean;
+  /** Lists the cold upstreams that a host reports. */
+  readonly listCold?: (index: number) => HostReport["cold"];
   /** Number of upstreams whose performance a host reports; by default 12, or 3 above 80 hosts. */
   readonly reportedUpstreams?: number;
   /** Called with each datagram that a host sends, also if it is lost. */
@@ -45,6 +53,8 @@
   const sent = { datagrams: 0, bytes: 0, betweenDataCentres: 0 };
   const loads = new Map<number, HostReport["loads"]>();
   const reportsByHost = new Map<number, Map<string, HostReport>>();
+  /** Hosts of the former build, once for each datagram that they could not read. */
+  const unread: number[] = [];
   const hosts: FleetHosts[] = [];
   const starts: ((incarnation: string) => FleetHosts)[] = [];
   /** Hosts whose datagrams are neither sent nor received. */
@@ -87,11 +97,14 @@
   for (let index = 0; index < count; index++) {
     const reports = new Map<string, HostReport>();
     reportsByHost.set(index, reports);
+    const isFormer = options.isFormerBuild?.(index) === true;
+    const protocolVersion = isFormer ? 0 : options.getProtocolVersion?.(index) ?? 1;
     const localHost = {
       host: `h${index}`,
       dataCentre: `dc${index % dataCentres}`,
       // Of the hosts of a data centre, every fifth one is larger.
       size: Math.floor(index / dataCentres) % 5 === 0 ? 2 : 1,
+      protocolVersion,
     };
     const start = (incarnation: string) =>
       createFleetHosts({
@@ -100,9 +113,13 @@
         logger: LOGGER,
         metrics: METRICS,
         openSocket: (address, receive) => {
-          sockets.set(address, receive);
+          sockets.set(address, (datagram) => {
+            const read = isFormer ? decodeAsFormerHost(datagram, FLEET_KEY) : datagram;
+            read === undefined ? unread.push(index) : receive(read);
+          });
           return Promise.resolve({
-            send: (target, datagram) => {
+            send: (target, encoded) => {
+              const datagram = isFormer ? encodeAsFormerHost(encoded, FLEET_KEY) : encoded;
               sent.datagrams++;
               sent.bytes += datagram.length;
               const receiver = getIndex(target);
@@ -121,12 +138,14 @@
         },
         localHost,
         peerAddress: getAddress(index),
-        fleetKey: "0123456789abcdef0123456789abcdef",
+        fleetKey: FLEET_KEY,
         seeds: Array.from({ length: SEEDS }, (_, seed) => getAddress(seed)),
         handleJoined: () => {},
         buildReport: () => ({
           ...localHost,
-          incarnation,
+          incarnation: options.isFormerBuild === undefined || isFormer
+            ? incarnation
+            : markIncarnation(incarnation, protocolVersion),
           callerAddress: getAddress(index),
           peerAddress: getAddress(index),
           isReady: true,
@@ -144,9 +163,8 @@
           limits: options.listLimits?.(index) ?? [],
           brittle: [],
           unreachableServices: [],
-          protocolVersion: options.getProtocolVersion?.(index) ?? 1,
           evacuations: [],
-          cold: [],
+          cold: options.listCold?.(index) ?? [],
           waiting: [],
         }),
         applyReport: (received) => {
@@ -175,6 +193,7 @@
     hosts,
     starts,
     sent,
+    unread,
     run,
     loads,
     reportsByHost,
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -1,7 +1,12 @@
 import type { Timer } from "@crocussail/protocol";
 import { computeLocalLoads, createLoadState } from "../balancing/mod.ts";
 import { createBrittleUpstreams } from "../brittle_upstreams/mod.ts";
-import { chooseAddresses, createFleetHosts, HOST_LIMITS } from "../fleet_hosts/mod.ts";
+import {
+  chooseAddresses,
+  createFleetHosts,
+  HOST_LIMITS,
+  markIncarnation,
+} from "../fleet_hosts/mod.ts";
 import type { LocalReport } from "../fleet_hosts/mod.ts";
 import { createForwarder } from "../forwarding/mod.ts";
 import type { Forwarder } from "../forwarding/mod.ts";
@@ -49,7 +54,7 @@
 /** Creates a gateway from its configuration and external interfaces. */
 export function createGateway(options: GatewayOptions): Gateway {
   const { config, clock, random, logger, metrics, dialect, directory } = options;
-  const incarnation = random.nextHex(INCARNATION_BYTES);
+  const incarnation = markIncarnation(random.nextHex(INCARNATION_BYTES), PROTOCOL_VERSION);
   const peerAddress = `${config.host.address}:${config.listen.peerPort}`;
   const loads = createLoadState();
   const seedAddresses = listSeedAddresses(config.peers.seeds, config.listen.peerPort);
@@ -69,6 +74,7 @@
     host: config.host.name,
     dataCentre: config.host.dataCentre,
     size: config.host.size * config.host.speed,
+    protocolVersion: PROTOCOL_VERSION,
   };
   const reading = createUpstreamReading({
     clock,
