Send no compressed datagrams to an address that an earlier build has taken over

A host that was replaced at its address by one of the former build under another name stayed known for up to a minute, and its address in the list of those that read compressed datagrams: the new process could read no batch meanwhile. Of several hosts at one address, the one that reported last now counts.

--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -17,6 +17,7 @@
 import type { HostMessage } from "./host_message.ts";
 import type { HostReport } from "./host_report_schema.ts";
 import type { HostState } from "./host_state.ts";
+import { listCompressionReaders } from "./list_compression_readers.ts";
 import { listLiveHosts } from "./list_live_hosts.ts";
 import { listRecentHosts } from "./list_recent_hosts.ts";
 import type { RelayCandidate } from "./rank_relays.ts";
@@ -111,12 +112,7 @@
     sender: localSender,
     fleetKey: options.fleetKey,
     sendDatagram: (address, datagram) => socket?.send(address, datagram),
-    listCompressionReaders: () =>
-      new Set(
-        [...state.hosts.values()]
-          .filter(({ report }) => report.protocolVersion >= HOST_LIMITS.compressionVersion)
-          .map(({ report }) => report.peerAddress),
-      ),
+    listCompressionReaders: () => listCompressionReaders(state),
   });
   const relay = createHostRelay({ clock, localHost, listLive, listRecent, sendReports });
   const notices = createHostNotices({
