Tell a finite time when a cut-off owner grants nothing for a cold upstream

The rate of such an owner is 0, so its refusal said an infinite time, or an hour to another host. For an upstream that also names a limit the time was passed on: the caller got an endless Retry-After, and the host left the upstream out for as long, also after it was connected again. The delays now end with the cold time.

--- a/packages/daemon/src/upstream_limits/create_upstream_limits.ts
+++ b/packages/daemon/src/upstream_limits/create_upstream_limits.ts
@@ -263,16 +263,22 @@
     );
   });
 
-  /** Ends the delays of a refusal with the cold time, after which no permit is needed. */
+  /**
+   * Ends the delays of a refusal with the cold time, after which no permit is needed or, if the
+   * upstream names a limit as well, permits are granted at its rate.
+   */
   const limitDelays = (
     upstream: UpstreamIncarnation,
     { freeInMs, retryAfterMs }: Pick<PermitRefusal, "freeInMs" | "retryAfterMs">,
   ): PermitRefusal => {
+    const nowMs = clock.readMonotonicMs();
     const untilMs = cold.getCold(upstream)?.untilMs;
-    if (untilMs === undefined || table.getLimit(upstream) !== undefined) {
+    // An owner that is cut off grants nothing while the upstream is cold, so it names no time.
+    const isEndless = freeInMs >= MAX_DELAY_MS;
+    if (!isEndless && (untilMs === undefined || table.getLimit(upstream) !== undefined)) {
       return { type: "refused", freeInMs, retryAfterMs };
     }
-    const leftMs = Math.max(0, untilMs - clock.readMonotonicMs());
+    const leftMs = Math.max(0, (untilMs ?? nowMs + PERMIT_LIMITS.silentReturnMs) - nowMs);
     const spreadMs = random.nextFloat() * PERMIT_LIMITS.coldReturnSpreadMs;
     return {
       type: "refused",
