Ignore negative loads when estimating the choices of other hosts

The check of a report allows negative loads. In a large fleet a negative estimate gave every upstream the share 0, so one faulty report refused all requests of its receivers.

--- a/packages/daemon/src/balancing/count_requests_elsewhere.ts
+++ b/packages/daemon/src/balancing/count_requests_elsewhere.ts
@@ -22,5 +22,6 @@
       sum + load.inFlight - (localLoads.get(upstream.record.id)?.inFlight ?? 0),
     0,
   );
-  return elsewhere * BALANCING_LIMITS.staleRequestFactor;
+  // A faulty report may hold negative loads, which must not leave all upstreams without a share.
+  return Math.max(0, elsewhere) * BALANCING_LIMITS.staleRequestFactor;
 }
--- a/packages/daemon/src/balancing/estimate_concurrent_choices.ts
+++ b/packages/daemon/src/balancing/estimate_concurrent_choices.ts
@@ -28,5 +28,6 @@
   const prompt = Math.max(1, promptTokens);
   // By Little's law, the placements a millisecond are those in prefill by the time that takes.
   const placedPerMs = (prefillingTokens / prompt) / (prompt / tokensPerMs);
-  return placedPerMs * BALANCING_LIMITS.relayedReportAgeMs + inputs.countDraining();
+  // A faulty report may hold negative loads, which must not leave all engines without a share.
+  return Math.max(0, placedPerMs) * BALANCING_LIMITS.relayedReportAgeMs + inputs.countDraining();
 }
