--- a/packages/daemon/src/fleet_hosts/mixed_fleet_test.ts
+++ b/packages/daemon/src/fleet_hosts/mixed_fleet_test.ts
@@ -6,6 +6,8 @@
 /** Time in which regular reports and, after a lost batch, the next ones have arrived. */
 const SETTLE_MS = 3_000;
 const ROUNDS = 3;
+/** Time below that in which the hosts notice that a relay is gone. */
+const DETECTION_MS = 2_000;
 
 describe("a fleet whose first relays are of the former build", function () {
   this.timeout(60_000);
@@ -55,4 +57,28 @@
     expect(versions.length).to.be.at.least(0.95 * current.length * DATA_CENTRES);
     expect(new Set(versions)).to.deep.equal(new Set([0]));
   });
+
+  // Relays of the former build go on forwarding; that must not count as the forwarding of a report.
+  it("passes them on when the first relays of this build are cut off", async () => {
+    const fleet = await createTestFleet({
+      hosts: HOSTS,
+      dataCentres: DATA_CENTRES,
+      isFormerBuild,
+      listCold: (index) => [["engine-1", index, 500]],
+    });
+    // The second large host of each data centre, the first one of this build.
+    const relays = [20, 21, 22, 23];
+    relays.forEach((index) => fleet.cut.add(index));
+    await fleet.run(DETECTION_MS);
+    const others = current.filter((index) => !relays.includes(index));
+    const reports = others.flatMap((index) =>
+      fleet.hosts[index]?.listLive().filter(({ host }) => {
+        const other = Number(host.slice(1));
+        return other !== index && others.includes(other);
+      }) ?? []
+    );
+    expect(reports.length).to.be.at.least(0.99 * others.length * (others.length - 1));
+    const whole = reports.filter(({ cold }) => cold.length === 1);
+    expect(whole.length / reports.length).to.be.at.least(0.95);
+  });
 });
