--- a/packages/daemon/src/upstream_limits/cold_upstreams_test.ts
+++ b/packages/daemon/src/upstream_limits/cold_upstreams_test.ts
@@ -45,6 +45,8 @@
     discoveryMs?: number;
     /** Host of a build that knows no cold times. */
     earlierBuild?: number;
+    /** Number of hosts, the first ones, whose build also drops fields of the reports it forwards. */
+    formerBuilds?: number;
     /** The limit that all upstreams name to all hosts. */
     named?: number;
     /** Upstreams whose cold time the given host knows of by itself; all by default. */
@@ -61,6 +63,9 @@
     hosts: options.hosts,
     dataCentres: options.hosts > 20 ? 4 : 2,
     getProtocolVersion: (index) => index === options.earlierBuild ? 0 : 1,
+    ...(options.formerBuilds === undefined
+      ? {}
+      : { isFormerBuild: (index: number) => index < (options.formerBuilds ?? 0) }),
     ...(options.discoveryMs === undefined ? {} : { discoveryMs: options.discoveryMs }),
     listLimits: (index) => limitsByHost.get(index)?.listReported() ?? [],
     receiveReport: (index, { report, ageMs }) =>
@@ -90,7 +95,9 @@
     );
   };
   // To the messages of this one, a host of an earlier build gives no answer.
-  listIndexes(options.hosts).filter((host) => host !== options.earlierBuild).forEach(startLimits);
+  listIndexes(options.hosts).filter((host) =>
+    host !== options.earlierBuild && host >= (options.formerBuilds ?? 0)
+  ).forEach(startLimits);
   const { named } = options;
   if (named !== undefined) {
     const nowMs = clock.readMonotonicMs();
@@ -303,6 +310,15 @@
     }
   });
 
+  // Each host took the others for hosts that know no cold times, and granted the whole rate itself.
+  it("gets no more when the first relays are of an earlier build, which drop the versions of others", async () => {
+    const fleet = await createColdFleet({ hosts: 69, formerBuilds: 4 });
+    await fleet.run(SETTLE_MS);
+    const perSecond = await fleet.runLoad({ seconds: 4, chooseHost: spread(69) });
+    fleet.expectBoundKept();
+    expect(perSecond).to.be.at.least(0.8 * GRANTED_PER_SECOND);
+  });
+
   it("gets nothing while an earlier build owns the limit that it names as well", async () => {
     const fleet = await createColdFleet({ hosts: 6, named: 10 });
     const owner = fleet.findOwner(0);
