--- a/packages/daemon/src/upstream_limits/create_upstream_limits.ts
+++ b/packages/daemon/src/upstream_limits/create_upstream_limits.ts
@@ -280,8 +280,7 @@
       return { type: "refused", freeInMs, retryAfterMs };
     }
     const leftMs = Math.max(0, (untilMs ?? nowMs + PERMIT_LIMITS.silentReturnMs) - nowMs);
-    const spreadMs = random.nextFloat() *
-      (isNamed ? PERMIT_LIMITS.returnSpreadMs : PERMIT_LIMITS.coldReturnSpreadMs);
+    const spreadMs = random.nextFloat() * PERMIT_LIMITS.coldReturnSpreadMs;
     return {
       type: "refused",
       freeInMs: Math.min(freeInMs, leftMs),
