--- a/review/common/daemons.js
+++ b/review/common/daemons.js
@@ -100,7 +100,7 @@
     hosts,
     readLog: (host) => readFileSync(join(folder, `${host.name}.log`), "utf8"),
     /** Waits until all hosts are ready and name each other in the directory. */
-    waitReady: async (timeoutMs = 10_000) => {
+    waitReady: async (timeoutMs = 15_000) => {
       const endMs = performance.now() + timeoutMs;
       for (const host of hosts) {
         while (!(await isReady(host, count))) {
