--- a/review/common/create_spoiler.js
+++ b/review/common/create_spoiler.js
@@ -18,7 +18,7 @@
         return undefined;
       }
       count++;
-      if (count % (1 / SHARE) !== 1) {
+      if (count % (1 / SHARE) !== 0) {
         return undefined;
       }
       spoilt.add(run.attempt);
