Log how long settings had not been read when a version becomes active

No line told that a version came late, nor what a host knew meanwhile. 8030 has ageMs, 8036 names the host that has a later version, and the gauge settings.age shows how old the last complete read of the settings is.

--- a/packages/daemon/src/adapters/deployment_feed.ts
+++ b/packages/daemon/src/adapters/deployment_feed.ts
@@ -41,6 +41,8 @@
   removeUpstream(id: string): void;
   /** Called after a complete read that began at the given monotonic time, with all ids. */
   applyUpstreamList(ids: ReadonlySet<string>, readAtMs: number): void;
+  /** Called when all changes of the settings up to the given monotonic time have been applied. */
+  recordSettingsRead(readAtMs: number): void;
   /** Called when all changes of upstreams up to the given monotonic time have been applied. */
   recordUpstreamsRead(readAtMs: number): void;
   /**
--- a/packages/daemon/src/gateway/create_active_settings.ts
+++ b/packages/daemon/src/gateway/create_active_settings.ts
@@ -13,6 +13,8 @@
   readonly listVersionsElsewhere: () => readonly number[];
   /** Whether this host knows seeds beside itself. */
   readonly hasOtherSeeds: boolean;
+  /** Computes the milliseconds since the settings were last read completely. */
+  readonly computeAge: () => number;
   /** Called when settings have become active. */
   readonly handleActive: (published: PublishedSettings) => void;
 }
@@ -57,7 +59,10 @@
     held = undefined;
     active = next;
     metrics.gauge("settings.version", version);
-    logger.writeEvent("settingsInForce", { version, era: next.era, revision: next.revision });
+    logger.writeEvent("settingsInForce", {
+      ...{ version, era: next.era, revision: next.revision },
+      ageMs: Math.round(options.computeAge()),
+    });
     options.handleActive(next);
   };
 
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -25,6 +25,7 @@
 import { createGatewayListeners } from "./create_gateway_listeners.ts";
 import { createObservedExchange } from "./create_observed_exchange.ts";
 import { createPauseNotices } from "./create_pause_notices.ts";
+import { createSettingsReading } from "./create_settings_reading.ts";
 import { createUpstreamReading } from "./create_upstream_reading.ts";
 import { createUpstreamView } from "./create_upstream_view.ts";
 import { createVersionNotices } from "./create_version_notices.ts";
@@ -84,8 +85,12 @@
   });
   const versions = createVersionNotices({
     readVersion: () => readSettings()?.version,
-    refreshSettings: () => options.feed.refreshSettings(),
+    refreshSettings: (version, by) => {
+      logger.writeEvent("settingsBehind", { version, by, known: readSettings()?.version ?? -1 });
+      options.feed.refreshSettings();
+    },
   });
+  const settingsReading = createSettingsReading({ clock });
   const upstreams = createUpstreamView({
     clock,
     logger,
@@ -146,7 +151,7 @@
       cold.acceptReport(report, ageMs);
       limits.acceptReport(report, ageMs);
       brittle.acceptReport(report, ageMs);
-      versions.acceptVersion(report.settingsVersion);
+      versions.acceptVersion(report.settingsVersion, report.host);
       recordEra(report.settingsEra, report.host);
       if (report.dataCentre === localHost.dataCentre) {
         reachability.checkReported(report.host, report.unreachableServices);
@@ -343,6 +348,7 @@
     metrics,
     listVersionsElsewhere: () => hosts.listLive().map(({ settingsVersion }) => settingsVersion),
     hasOtherSeeds: seedAddresses.some((address) => address !== peerAddress),
+    computeAge: settingsReading.computeAge,
     handleActive: (active) => {
       listeners.applyLimits(active.settings.limits);
       hosts.scheduleReport();
@@ -409,6 +415,7 @@
         loads.conduct.delete(id);
       }
     }
+    metrics.gauge("settings.age", Math.round(settingsReading.computeAge()));
     limits.tick((id) => upstreams.state.upstreams.has(id));
     brittle.tick((id) => upstreams.state.upstreams.has(id));
     timer = clock.startTimer(GATEWAY_LIMITS.tickMs, tick);
@@ -432,6 +439,7 @@
         applyUpstream: (record) => cold.observeRecord(record, () => upstreams.applyRecord(record)),
         removeUpstream: upstreams.removeRecord,
         applyUpstreamList: upstreams.applyList,
+        recordSettingsRead: settingsReading.recordRead,
         recordUpstreamsRead: (readAtMs) => {
           reading.recordRead(readAtMs);
           if (reading.isReportDue()) {
--- a/packages/daemon/src/gateway/create_version_notices.ts
+++ b/packages/daemon/src/gateway/create_version_notices.ts
@@ -2,13 +2,13 @@
 export interface VersionNoticesOptions {
   /** Returns the version that is in force on this host; undefined before the first one. */
   readonly readVersion: () => number | undefined;
-  /** Reads the settings now. */
-  readonly refreshSettings: () => void;
+  /** Reads the settings now, because the given host has a later version in force. */
+  readonly refreshSettings: (version: number, host: string) => void;
 }
 
 /** Versions of the settings that other hosts have in force. */
 export interface VersionNotices {
-  acceptVersion(version: number): void;
+  acceptVersion(version: number, host: string): void;
 }
 
 /**
@@ -19,13 +19,13 @@
 export function createVersionNotices(options: VersionNoticesOptions): VersionNotices {
   let requestedVersion = Number.NEGATIVE_INFINITY;
   return {
-    acceptVersion: (version) => {
+    acceptVersion: (version, host) => {
       const known = options.readVersion();
       if (known === undefined || version <= Math.max(known, requestedVersion)) {
         return;
       }
       requestedVersion = version;
-      options.refreshSettings();
+      options.refreshSettings(version, host);
     },
   };
 }
--- a/packages/daemon/src/gateway/create_version_notices_test.ts
+++ b/packages/daemon/src/gateway/create_version_notices_test.ts
@@ -14,18 +14,18 @@
   it("cause one read, however many hosts report them to a host that cannot read", () => {
     const { notices, countRefreshes } = createNotices(3);
     for (let report = 0; report < 195; report++) {
-      notices.acceptVersion(4);
+      notices.acceptVersion(4, "host-2");
     }
     expect(countRefreshes()).to.equal(1);
-    notices.acceptVersion(5);
+    notices.acceptVersion(5, "host-2");
     expect(countRefreshes()).to.equal(2);
   });
 
   it("cause no read if they are not later, or before the first settings", () => {
     const current = createNotices(3);
-    current.notices.acceptVersion(3);
+    current.notices.acceptVersion(3, "host-2");
     const starting = createNotices(undefined);
-    starting.notices.acceptVersion(3);
+    starting.notices.acceptVersion(3, "host-2");
     expect([current.countRefreshes(), starting.countRefreshes()]).to.deep.equal([0, 0]);
   });
 });
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -142,6 +142,12 @@
     title: "Started host waits before it applies its first settings; others may have later ones",
     action: "If it lasts, check that the operator's last version is written again",
   },
+  settingsBehind: {
+    number: 8036,
+    level: "info",
+    title: "Another host has a later version of the settings in force; this host reads them now",
+    action: "If 8030 does not follow within a second, look for 8032 on this host",
+  },
   upstreamJoined: { number: 8040, level: "info", title: "Upstream is ready", action: "none" },
   upstreamLeft: {
     number: 8041,
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -235,4 +235,9 @@
     unit: "version",
     meaning: "Version of the active published settings",
   },
+  "settings.age": {
+    type: "gauge",
+    unit: "ms",
+    meaning: "Age of the last response on the settings: later versions may not be known",
+  },
 } as const satisfies Record<string, MetricEntry>;
