Do not rely on a watch of the settings that may have fallen silent

What callers saw: requests handled by a former version for up to 20 s after a newer one was confirmed (CONFIG), once open connections had gone silent.

Cause: a host that heard from a reader of upstreams, readers included, let its watch of the settings wait for 25 s, as if hearing of upstreams showed that the settings arrive. Reports name only versions that some host has in force; with all watches silent no host learned of the next one. A host without a reader waited for 3.5 s, longer than the 2 s in which a version has to be in force, and one that had read too early after a report was not made to read again.

The class: a wait whose bound does not follow from the promise that it serves.

Now the leading reader's watch ends after a second, and its reports, on which the others rely, stop when its settings are not recent; so are waits on hosts that rely on nobody or know that they are behind. A reader reports a new version at once, which in a large fleet took two collecting delays.

--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -38,12 +38,18 @@
   /** Longest pause between attempts to reach the settings service, as a share of `drainMs`. */
   maxBackoffShareOfDrain: 0.4,
   /**
-   * Time after which a watch of the settings is restarted. It limits how long a dead connection
-   * hides a new version from a host that hears from no reader.
+   * Time after which a watch of the settings is restarted. It limits how long a silent connection
+   * hides a new version from a host that no other host would tell of it. Together with the time in
+   * which the silence shows, a read and the report's way it stays below the bound on new versions.
    */
-  settingsPollTimeoutMs: 3_000,
-  /** The same time on a host that hears from readers, whose reports contain the last revision. */
+  settingsPollTimeoutMs: 1_000,
+  /** The same time on a host that hears from a reader, whose reports contain the last version. */
   confirmedPollTimeoutMs: 25_000,
+  /**
+   * Age of a reader's settings above which its reports no longer confirm what others know. It
+   * exceeds two waits and the time in which a silent connection shows.
+   */
+  maxSettingsAgeMs: 3_000,
   /** Time for which callers may cache a directory response, and so call a lost host. */
   directoryTtlMs: 2_000,
   /** Minimum drain time of a host, in which it serves callers that have cached its address. */
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -62,6 +62,7 @@
   let isLeaving = false;
   let leavingSinceMs = Number.POSITIVE_INFINITY;
   let isConfirmed = false;
+  let isLeadingReader = false;
   let readerRank = -1;
   let era = 0;
   let timer: Timer | undefined;
@@ -82,15 +83,23 @@
     drainMs: config.upstreams.drainMs,
     getReaderRank: () => readerRank,
     isOutageRecent: () => upstreams.isOutageRecent(),
+    areSettingsRecent: () => settingsReading.isRecent(),
   });
+  const listVersionsElsewhere = () => hosts.listLive().map((report) => report.settingsVersion);
   const versions = createVersionNotices({
     readVersion: () => readSettings()?.version,
+    listVersionsElsewhere,
     refreshSettings: (version, by) => {
       logger.writeEvent("settingsBehind", { version, by, known: readSettings()?.version ?? -1 });
       options.feed.refreshSettings();
     },
   });
-  const settingsReading = createSettingsReading({ clock });
+  const settingsReading = createSettingsReading({
+    clock,
+    isLeadingReader: reading.isLeadingReader,
+    isConfirmed: () => isConfirmed,
+    isBehind: versions.isBehind,
+  });
   const upstreams = createUpstreamView({
     clock,
     logger,
@@ -346,12 +355,12 @@
     clock,
     logger,
     metrics,
-    listVersionsElsewhere: () => hosts.listLive().map(({ settingsVersion }) => settingsVersion),
+    listVersionsElsewhere,
     hasOtherSeeds: seedAddresses.some((address) => address !== peerAddress),
     computeAge: settingsReading.computeAge,
     handleActive: (active) => {
       listeners.applyLimits(active.settings.limits);
-      hosts.scheduleReport();
+      reading.isReader() ? hosts.scheduleUrgentReport() : hosts.scheduleReport();
     },
   });
   const readSettings = () => settings.get()?.settings;
@@ -406,9 +415,11 @@
       logger.writeEvent("readerChanged", { rank, live: live.length });
     }
     const wasConfirmed = isConfirmed;
+    const wasLeadingReader = isLeadingReader;
     isConfirmed = reading.isConfirmed();
-    if (wasConfirmed && !isConfirmed) {
-      options.feed.refreshSettings(); // the running watch may wait for long on a dead connection
+    isLeadingReader = reading.isLeadingReader();
+    if ((wasConfirmed && !isConfirmed) || (!wasLeadingReader && isLeadingReader)) {
+      options.feed.refreshSettings(); // the running watch may wait for long on a silent connection
     }
     for (const id of loads.conduct.keys()) {
       if (!upstreams.state.upstreams.has(id)) {
@@ -457,10 +468,7 @@
         rejectValue: (key, reason) => logger.writeEvent("publishedValueRejected", { key, reason }),
       }, {
         computeReadDelay: reading.computeReadDelay,
-        computeSettingsPollTimeout: () =>
-          isConfirmed
-            ? GATEWAY_LIMITS.confirmedPollTimeoutMs
-            : GATEWAY_LIMITS.settingsPollTimeoutMs,
+        computeSettingsPollTimeout: settingsReading.computePollTimeout,
         maxBackoffMs: config.upstreams.drainMs * GATEWAY_LIMITS.maxBackoffShareOfDrain,
       });
       await listeners.open();
--- a/packages/daemon/src/gateway/create_upstream_reading.ts
+++ b/packages/daemon/src/gateway/create_upstream_reading.ts
@@ -12,6 +12,8 @@
   readonly getReaderRank: () => number;
   /** Whether records may be missing that return soon; then every host reads for itself. */
   readonly isOutageRecent: () => boolean;
+  /** Whether the settings of this host are recent enough for other hosts to rely on it. */
+  readonly areSettingsRecent: () => boolean;
 }
 
 /** When this host has to read the upstreams from the settings service. */
@@ -26,7 +28,12 @@
   isConfirmed(): boolean;
   /** Whether this host reads for the fleet. */
   isReader(): boolean;
-  /** Age of what this host has read, if it reads for the fleet; null otherwise. */
+  /** Whether this host reads for the fleet and hears from no host that reads more often. */
+  isLeadingReader(): boolean;
+  /**
+   * Age of what this host has read, if it reads for the fleet; null otherwise. Hosts that receive
+   * it rely on this one for the settings too.
+   */
   computeReportedAge(): number | null;
   /** Whether this host reads for the fleet and has to report before its next regular report. */
   isReportDue(): boolean;
@@ -36,7 +43,9 @@
  * Creates the decision. Two hosts read often and report the changes, which answers the load of a
  * fleet in which every host reads for itself; any other host reads only when it has heard from no
  * reader for half of the drain time. A report of a reader counts if no change can have been missed
- * since the last one, as it contains the changes of a limited time.
+ * since the last one, as it contains the changes of a limited time. The settings have a watch of
+ * their own, whose connection may be silent while the upstreams are read: the leading reader reports
+ * only while its settings are recent, and the other one while it hears from the leading one.
  */
 export function createUpstreamReading(options: UpstreamReadingOptions): UpstreamReading {
   const { clock, drainMs } = options;
@@ -54,13 +63,16 @@
       ? options.getReaderRank()
       : -1;
 
-  /** The second reader takes over the rate of the first one when it does not hear from it. */
-  const computeReaderShare = () => {
-    const [firstShare, secondShare] = GATEWAY_LIMITS.readerIntervalSharesOfDrain;
+  /** The second reader takes over from the first one when it does not hear from it. */
+  const isLeadingReader = () => {
     const rank = computeRank();
     const isAlone = clock.readMonotonicMs() - confirmedAtMs >
       drainMs * GATEWAY_LIMITS.silentReaderShareOfDrain;
-    return rank < 0 ? undefined : rank === 0 || isAlone ? firstShare : secondShare;
+    return rank === 0 || (rank > 0 && isAlone);
+  };
+  const computeReaderShare = () => {
+    const [firstShare, secondShare] = GATEWAY_LIMITS.readerIntervalSharesOfDrain;
+    return computeRank() < 0 ? undefined : isLeadingReader() ? firstShare : secondShare;
   };
 
   return {
@@ -85,9 +97,11 @@
     },
     isConfirmed: () => computeAge() <= drainMs * GATEWAY_LIMITS.maxAgeShareOfDrain,
     isReader: () => computeRank() >= 0,
+    isLeadingReader,
     computeReportedAge: () => {
       const ageMs = Math.round(clock.readMonotonicMs() - readAtMs);
-      if (computeRank() < 0 || ageMs > HOST_LIMITS.upstreamReportMs) {
+      const areSettingsKnown = !isLeadingReader() || options.areSettingsRecent();
+      if (computeRank() < 0 || ageMs > HOST_LIMITS.upstreamReportMs || !areSettingsKnown) {
         return null;
       }
       reportedAtMs = clock.readMonotonicMs();
--- a/packages/daemon/src/gateway/create_upstream_reading_test.ts
+++ b/packages/daemon/src/gateway/create_upstream_reading_test.ts
@@ -23,6 +23,7 @@
         drainMs: DRAIN_MS,
         getReaderRank: () => index < 2 ? index : -1,
         isOutageRecent: () => false,
+        areSettingsRecent: () => true,
       }),
   );
   const report = (from: number) => {
@@ -113,6 +114,7 @@
       drainMs: DRAIN_MS,
       getReaderRank: () => -1,
       isOutageRecent: () => false,
+      areSettingsRecent: () => true,
     });
     host.recordRead(0);
     clock.advance(2_400);
@@ -128,6 +130,7 @@
       drainMs: DRAIN_MS,
       getReaderRank: () => -1,
       isOutageRecent: () => isOutageRecent,
+      areSettingsRecent: () => true,
     });
     host.recordRead(0);
     clock.advance(DRAIN_MS / 2);
@@ -144,6 +147,7 @@
       drainMs: DRAIN_MS,
       getReaderRank: () => 0,
       isOutageRecent: () => false,
+      areSettingsRecent: () => true,
     });
     host.recordRead(0);
     clock.advance(400);
@@ -153,4 +157,27 @@
     expect(host.computeReadDelay()).to.equal(0);
     expect(host.computeReportedAge()).to.equal(800);
   });
+
+  it("confirms what others know only while the settings of the leading reader are recent", () => {
+    const clock = createManualClock();
+    let rank = 0;
+    let areSettingsRecent = true;
+    const host = createUpstreamReading({
+      clock,
+      drainMs: DRAIN_MS,
+      getReaderRank: () => rank,
+      isOutageRecent: () => false,
+      areSettingsRecent: () => areSettingsRecent,
+    });
+    clock.advance(3_000);
+    host.recordRead(3_000);
+    expect(host.computeReportedAge()).to.equal(0);
+    areSettingsRecent = false;
+    expect(host.computeReportedAge()).to.equal(null);
+    rank = 1;
+    host.acceptReport({ report: { upstreamsAgeMs: 0 } as HostReport, ageMs: 0 });
+    expect([host.isLeadingReader(), host.computeReportedAge()]).to.deep.equal([false, 0]);
+    clock.advance(DRAIN_MS / 2);
+    expect([host.isLeadingReader(), host.computeReportedAge()]).to.deep.equal([true, null]);
+  });
 });
--- a/packages/daemon/src/gateway/create_version_notices.ts
+++ b/packages/daemon/src/gateway/create_version_notices.ts
@@ -2,6 +2,8 @@
 export interface VersionNoticesOptions {
   /** Returns the version that is in force on this host; undefined before the first one. */
   readonly readVersion: () => number | undefined;
+  /** Lists the versions that are in force on the other live hosts. */
+  readonly listVersionsElsewhere: () => readonly number[];
   /** Reads the settings now, because the given host has a later version in force. */
   readonly refreshSettings: (version: number, host: string) => void;
 }
@@ -9,6 +11,8 @@
 /** Versions of the settings that other hosts have in force. */
 export interface VersionNotices {
   acceptVersion(version: number, host: string): void;
+  /** Whether no settings are in force on this host, or later ones on a live host. */
+  isBehind(): boolean;
 }
 
 /**
@@ -27,5 +31,10 @@
       requestedVersion = version;
       options.refreshSettings(version, host);
     },
+    isBehind: () => {
+      const known = options.readVersion();
+      return known === undefined ||
+        options.listVersionsElsewhere().some((version) => version > known);
+    },
   };
 }
--- a/packages/daemon/src/gateway/create_version_notices_test.ts
+++ b/packages/daemon/src/gateway/create_version_notices_test.ts
@@ -2,10 +2,11 @@
 import { createVersionNotices } from "./create_version_notices.ts";
 
 describe("versions that other hosts report", () => {
-  const createNotices = (version: number | undefined) => {
+  const createNotices = (version: number | undefined, elsewhere: readonly number[] = []) => {
     let refreshes = 0;
     const notices = createVersionNotices({
       readVersion: () => version,
+      listVersionsElsewhere: () => elsewhere,
       refreshSettings: () => refreshes++,
     });
     return { notices, countRefreshes: () => refreshes };
@@ -28,4 +29,10 @@
     starting.notices.acceptVersion(3, "host-2");
     expect([current.countRefreshes(), starting.countRefreshes()]).to.deep.equal([0, 0]);
   });
+
+  it("leave a host behind until its own version is as late, however the read ended", () => {
+    expect(createNotices(3, [3, 4]).notices.isBehind()).to.equal(true);
+    expect(createNotices(4, [3, 4]).notices.isBehind()).to.equal(false);
+    expect(createNotices(undefined).notices.isBehind()).to.equal(true);
+  });
 });
