Answer requests whose response has a status text that cannot be sent on

Cause: the text was decoded as UTF-8 and sent on; writeHead throws on a character beyond Latin-1 or a control character. The reply counted as ended before its head was written, so the refusal that should have followed was skipped; where it was not, it threw again, since a response keeps the status text of a head that could not be sent.

Now such a text is replaced by the usual one of its status, a reply has ended only when its head is written, a refusal gives its own status text, and a refusal that throws ends the connection.

--- a/packages/daemon/src/adapters/open_http_exchange.ts
+++ b/packages/daemon/src/adapters/open_http_exchange.ts
@@ -2,6 +2,7 @@
 import { Client } from "undici";
 import type { Dispatcher } from "undici";
 import { splitAddress } from "../common/split_address.ts";
+import { normalizeStatusText } from "./normalize_status_text.ts";
 import type { OpenUpstreamExchange } from "./upstream_exchange.ts";
 import { watchConnectionLoss } from "./watch_connection_loss.ts";
 import { watchFramingBytes } from "./watch_framing_bytes.ts";
@@ -73,7 +74,7 @@
           const headers = raw.map((part) =>
             typeof part === "string" ? part : part.toString(LATIN1)
           );
-          handler.receiveHead(status, statusText ?? "", headers);
+          handler.receiveHead(status, normalizeStatusText(status, statusText ?? ""), headers);
         }
       },
       onResponseData: (_controller, chunk) => {
--- a/packages/daemon/src/forwarding/create_caller_reply.ts
+++ b/packages/daemon/src/forwarding/create_caller_reply.ts
@@ -1,5 +1,6 @@
 import { createProblem, createResultError } from "@crocussail/protocol";
 import type { ResultCodeName } from "@crocussail/protocol";
+import { STATUS_CODES } from "node:http";
 import type { ServerResponse } from "node:http";
 import type { DeploymentDialect } from "../adapters/deployment_dialect.ts";
 import type { CallerReply } from "./caller_reply.ts";
@@ -22,31 +23,30 @@
 export function createCallerReply(options: CallerReplyOptions): CallerReply {
   const { response, dialect, listOwnHeaders = () => [] } = options;
   let hasEnded = false;
-  const prepareHead = () => {
+  /** Throws if the head cannot be sent; another one can be sent then. */
+  const writeHead = (status: number, statusText: string, headers: readonly string[]) => {
     response.sendDate = false;
     if (options.isLeaving()) {
       response.shouldKeepAlive = false;
     }
+    response.writeHead(status, statusText, [...headers]);
   };
-  const startStream: CallerReply["startStream"] = (status, statusText, rawHeaders) => {
-    prepareHead();
-    response.writeHead(status, statusText, [
+  const startStream: CallerReply["startStream"] = (status, statusText, rawHeaders) =>
+    writeHead(status, statusText, [
       ...removeHopByHopHeaders(rawHeaders, ["content-length"]),
       ...listOwnHeaders(undefined),
     ]);
-  };
   return {
     startStream,
     sendResponse: (status, statusText, rawHeaders, body) => {
       if (hasEnded) {
         return;
       }
-      hasEnded = true;
-      prepareHead();
       const headers = removeHopByHopHeaders(rawHeaders, ["content-length"]);
       const hasBody = status !== 204 && status !== 304;
       const length = hasBody ? ["Content-Length", String(body.length)] : [];
-      response.writeHead(status, statusText, [...headers, ...length, ...listOwnHeaders(undefined)]);
+      writeHead(status, statusText, [...headers, ...length, ...listOwnHeaders(undefined)]);
+      hasEnded = true;
       response.end(body);
     },
     sendChunk: (chunk) => {
@@ -61,13 +61,11 @@
       if (hasEnded) {
         return;
       }
-      hasEnded = true;
-      options.recordRefusal(code, detail, retryAfterMs ?? 0);
       const advice = retryAfterMs === undefined ? {} : { retryAfterMs };
       const problem = createProblem(createResultError(code, detail, advice));
       const body = Buffer.from(JSON.stringify(problem));
-      prepareHead();
-      response.writeHead(problem.status, [
+      // The status text is given, as the response keeps that of a head which could not be sent.
+      writeHead(problem.status, STATUS_CODES[problem.status] ?? "", [
         "Content-Type",
         "application/problem+json",
         "Content-Length",
@@ -75,6 +73,8 @@
         ...(retryAfterMs === undefined ? [] : dialect.encodeRetryAdvice(retryAfterMs)),
         ...listOwnHeaders(code),
       ]);
+      hasEnded = true;
+      options.recordRefusal(code, detail, retryAfterMs ?? 0);
       response.end(body);
     },
     abort: () => {
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -106,16 +106,24 @@
       left -= Number(isLate && left > 0 && run.leaveDraining());
     }
   };
-  const reportFault = (request: Pick<ForwardedRequest, "requestId" | "reply">, error: unknown) => {
+  const logFault = ({ requestId }: Pick<ForwardedRequest, "requestId">, error: unknown) => {
     const reason = error instanceof Error ? error.stack ?? error.message : String(error);
-    logger.writeEvent("requestFailed", { request: request.requestId, reason });
+    logger.writeEvent("requestFailed", { request: requestId, reason });
+  };
+  const reportFault = (request: Pick<ForwardedRequest, "requestId" | "reply">, error: unknown) => {
+    logFault(request, error);
     if (request.reply.hasStarted()) {
       request.reply.abort();
-    } else {
+      return;
+    }
+    try {
       request.reply.refuse(
         "internalFault",
         "internal error on this host while handling the request",
       );
+    } catch (refusalError) {
+      logFault(request, refusalError);
+      request.reply.abort();
     }
   };
 
