--- a/packages/daemon/src/adapters/open_http_exchange.ts
+++ b/packages/daemon/src/adapters/open_http_exchange.ts
@@ -11,53 +11,57 @@
 
 /**
  * Sends one request on a new connection and closes it after the response, so that late or surplus
- * bytes from an upstream cannot be mistaken for the response to another request.
+ * bytes from an upstream cannot be mistaken for the response to another request. A request that
+ * cannot be sent fails; nothing is thrown.
  */
 export const openHttpExchange: OpenUpstreamExchange = (request, handler) => {
   const { host, port } = splitAddress(request.address);
   let isSent = false;
   let isFinished = false;
   let bodyBytes = 0;
+  let client: Client | undefined;
   let readConnectionLoss: () => string | undefined = () => undefined;
 
-  const client = new Client(`http://${request.address}`, {
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect: (_options, callback) => {
-      const socket = connect({ host, port, noDelay: true });
-      const timer = setTimeout(
-        () => socket.destroy(new Error("connection timed out")),
-        request.connectTimeoutMs,
-      );
-      const settle = (error: Error | null) => {
-        clearTimeout(timer);
-        socket.off("connect", handleConnect).off("error", settle);
-        if (error === null) {
-          readConnectionLoss = watchConnectionLoss(socket);
-          watchFramingBytes(
-            socket,
-            () => bodyBytes,
-            (reason) => finish(() => handler.fail(isSent, reason)),
-          );
-          callback(null, socket);
-        } else {
-          callback(error, null);
-        }
-      };
-      const handleConnect = () => settle(null);
-      socket.once("connect", handleConnect).once("error", settle);
-    },
-  });
+  const createClient = () =>
+    new Client(`http://${request.address}`, {
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (_options, callback) => {
+        const socket = connect({ host, port, noDelay: true });
+        const timer = setTimeout(
+          () => socket.destroy(new Error("connection timed out")),
+          request.connectTimeoutMs,
+        );
+        const settle = (error: Error | null) => {
+          clearTimeout(timer);
+          socket.off("connect", handleConnect).off("error", settle);
+          if (error === null) {
+            readConnectionLoss = watchConnectionLoss(socket);
+            watchFramingBytes(
+              socket,
+              () => bodyBytes,
+              (reason) => finish(() => handler.fail(isSent, reason)),
+            );
+            callback(null, socket);
+          } else {
+            callback(error, null);
+          }
+        };
+        const handleConnect = () => settle(null);
+        socket.once("connect", handleConnect).once("error", settle);
+      },
+    });
   const finish = (notifyHandler: () => void) => {
     if (isFinished) {
       return;
     }
     isFinished = true;
-    client.destroy().catch(() => {}); // errors do not matter: the connection is discarded
+    client?.destroy().catch(() => {}); // errors do not matter: the connection is discarded
     notifyHandler();
   };
 
-  const dispatchRequest = () =>
+  const dispatchRequest = () => {
+    client = createClient();
     client.dispatch({
       path: request.target,
       method: request.method as Dispatcher.HttpMethod,
@@ -90,6 +94,7 @@
         }),
       onResponseError: (_controller, error) => finish(() => handler.fail(isSent, error.message)),
     });
+  };
 
   try {
     dispatchRequest();
--- a/packages/daemon/src/adapters/open_http_exchange_test.ts
+++ b/packages/daemon/src/adapters/open_http_exchange_test.ts
@@ -40,6 +40,23 @@
 const CHUNKED = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`;
 
 describe("openHttpExchange", () => {
+  for (const address of ["127.0.0.1:70000", "999.0.0.1:80", "127.0.0.1:", "", "127.0.0.1:80/a b"]) {
+    it(`fails a request to an address that cannot be connected to: "${address}"`, async () => {
+      const isSent = await new Promise<boolean>((resolve) =>
+        openHttpExchange({
+          ...{ address, method: "GET", target: "/a", headers: ["Host", "a"], body: undefined },
+          connectTimeoutMs: 500,
+        }, {
+          receiveHead: () => {},
+          receiveData: () => {},
+          end: () => {},
+          fail: resolve,
+        })
+      );
+      expect(isSent).to.equal(false);
+    });
+  }
+
   const cases: readonly { title: string; answer: (socket: Socket) => void; end: string }[] = [
     {
       title: "a body with the length in Content-Length is complete",
--- a/packages/daemon/src/forwarding/collect_answer.ts
+++ b/packages/daemon/src/forwarding/collect_answer.ts
@@ -35,20 +35,21 @@
     let answer = { status: 0, statusText: "", rawHeaders: [] as readonly string[] };
     let head: AnswerHead | undefined;
     let isConnectionLost = false;
+    let exchange: UpstreamExchange | undefined = undefined;
     const settle = (outcome: AttemptOutcome, reason: string) => {
       timer.cancel();
       const body = chunks.length === 1 ? chunks[0] as Uint8Array : Buffer.concat(chunks);
       resolve({ outcome, reason, isConnectionLost, ...answer, body });
     };
     const abort = (reason: string) => {
-      exchange.abort();
+      exchange?.abort();
       settle("broken", reason);
     };
     const timer = clock.startTimer(
       options.timeoutMs,
       () => abort("no complete response within the timeout"),
     );
-    const exchange = openExchange(options.request, {
+    exchange = openExchange(options.request, {
       receiveHead: (status, statusText, rawHeaders) => {
         answer = { status, statusText, rawHeaders };
         head = dialect.decodeAnswer(status, rawHeaders);
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -26,7 +26,7 @@
 export { openUdpSocket } from "../adapters/open_udp_socket.ts";
 export type { ProbeConnection } from "../adapters/probe_connection.ts";
 export { probeTcpConnection } from "../adapters/probe_tcp_connection.ts";
-export type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
+export type { OpenUpstreamExchange, UpstreamExchange } from "../adapters/upstream_exchange.ts";
 export { removeHopByHopHeaders } from "../common/remove_hop_by_hop_headers.ts";
 export type {
   CallerLimits,
