Keep the periodic checks and the process when one of them fails

An error in a timer or an event handler ended the process with the requests of all callers, and an error in a periodic check, were it caught, would have been the last check. Found by looking for the cause of the fault before elsewhere: no case of it is known. Checks start their next timer whatever happens, a run whose check fails gets its final answer, and what nobody handles is logged (1002) and counted (forwarding.faults).

--- a/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
+++ b/packages/daemon/src/fleet_hosts/create_fleet_hosts.ts
@@ -280,7 +280,7 @@
     metrics.gauge("hosts.live", current.size + 1);
   };
 
-  const tick = () => {
+  const updateHosts = () => {
     const nowMs = clock.readMonotonicMs();
     expireHosts(state, seeds, nowMs);
     for (const [address, sentMs] of knownReportsSentMs) {
@@ -292,7 +292,13 @@
     isReportBroughtForward = false;
     lastRegularMs = nowMs;
     sendRegular();
-    timer = clock.startTimer(intervalMs, tick);
+  };
+  const tick = () => {
+    try {
+      updateHosts();
+    } finally {
+      timer = clock.startTimer(intervalMs, tick);
+    }
   };
   const bringReportForward = () => {
     const elapsedMs = clock.readMonotonicMs() - lastRegularMs;
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -108,6 +108,7 @@
   };
   const logFault = ({ requestId }: Pick<ForwardedRequest, "requestId">, error: unknown) => {
     const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+    metrics.increment("forwarding.faults");
     logger.writeEvent("requestFailed", { request: requestId, reason });
   };
   const reportFault = (request: Pick<ForwardedRequest, "requestId" | "reply">, error: unknown) => {
@@ -179,10 +180,15 @@
       migrateGeneration(context, run, "silent").catch((error) => reportFault(request, error));
     }
   };
-  const tick = () => {
+  const checkRuns = () => {
     const nowMs = clock.readMonotonicMs();
     for (const run of [...runs]) {
-      checkRun(run, nowMs);
+      try {
+        checkRun(run, nowMs);
+      } catch (error) {
+        reportFault(run.request, error);
+        run.finish("fault");
+      }
     }
     const leaving = new Set<string>();
     for (const run of runs) {
@@ -199,10 +205,16 @@
     waitQueue.expireAndPlaceNext(nowMs);
     metrics.gauge("forwarding.running", running);
     metrics.gauge("forwarding.waiting", waitQueue.count());
-    // The jitter keeps hosts that wait for the same capacity from all checking at the same time.
-    const delayMs = FORWARDING_LIMITS.tickMs * (MIN_TICK_SHARE + context.random.nextFloat());
-    isIdle = runs.size === 0;
-    timer = clock.startTimer(isIdle ? FORWARDING_LIMITS.idleTickMs : delayMs, tick);
+  };
+  const tick = () => {
+    try {
+      checkRuns();
+    } finally {
+      // The jitter keeps hosts that wait for the same capacity from all checking at the same time.
+      const delayMs = FORWARDING_LIMITS.tickMs * (MIN_TICK_SHARE + context.random.nextFloat());
+      isIdle = runs.size === 0;
+      timer = clock.startTimer(isIdle ? FORWARDING_LIMITS.idleTickMs : delayMs, tick);
+    }
   };
   /** Returns to the short interval, for the first generation after an idle time. */
   const endIdleTime = () => {
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -397,7 +397,7 @@
     countOpen: forwarder.countOpen,
   });
 
-  const tick = () => {
+  const checkState = () => {
     const now = readClocks();
     const pause = findPause(lastClocks, now, GATEWAY_LIMITS.pauseThresholdMs);
     lastClocks = now;
@@ -429,7 +429,13 @@
     metrics.gauge("settings.age", Math.round(settingsReading.computeAge()));
     limits.tick((id) => upstreams.state.upstreams.has(id));
     brittle.tick((id) => upstreams.state.upstreams.has(id));
-    timer = clock.startTimer(GATEWAY_LIMITS.tickMs, tick);
+  };
+  const tick = () => {
+    try {
+      checkState();
+    } finally {
+      timer = clock.startTimer(GATEWAY_LIMITS.tickMs, tick);
+    }
   };
 
   const stop = () => {
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -235,6 +235,11 @@
     unit: "version",
     meaning: "Version of the active published settings",
   },
+  "forwarding.faults": {
+    type: "counter",
+    unit: "errors",
+    meaning: "Errors of this host that ended a request or a callback, see 1002",
+  },
   "settings.age": {
     type: "gauge",
     unit: "ms",
