Count a refusal of another request as none

What callers could see: a request that an upstream was running was sent to a second one, or refused as not run (TWICE, REFUSED), when its upstream answered with an earlier refusal, written once more under the earlier request's id.

Cause: a refusal counted before the id in it was compared; only other responses had to belong to the request. A refusal without an id counts as before.

--- a/packages/daemon/src/retries/decide_outcome.ts
+++ b/packages/daemon/src/retries/decide_outcome.ts
@@ -6,14 +6,15 @@
 
 /**
  * Decides the outcome of a request from its complete response, with the reason. A request counts as
- * not executed only if the upstream states so.
+ * not executed only if the upstream states so, and not of another request; a refusal may lack the id.
  */
 export function decideOutcome(
   status: number,
   head: AnswerHead | undefined,
   requestId: string,
 ): [Exclude<AttemptOutcome, "notSent">, string] {
-  if (head?.hasNotExecuted === true) {
+  const hasNoId = head?.requestId === undefined || head.requestId === "";
+  if (head?.hasNotExecuted === true && (hasNoId || head.requestId === requestId)) {
     return ["refused", `upstream refused with ${status}`];
   }
   if (head === undefined || head.requestId !== requestId || head.isEncoded) {
--- a/packages/daemon/src/retries/decide_outcome_test.ts
+++ b/packages/daemon/src/retries/decide_outcome_test.ts
@@ -21,6 +21,7 @@
       hasNotExecuted: true,
       requestId: "",
     }, "refused"],
+    ["a refusal of another request", 503, { hasNotExecuted: true, requestId: "r2" }, "broken"],
     ["a 503 that does not state that the request was not executed", 503, {}, "broken"],
     ["a 429 that does not state that the request was not executed", 429, {}, "broken"],
     ["a 408 that does not state that the request was not executed", 408, {}, "broken"],
