Let every stop signal wait for the one drain

What callers saw: a second stop signal ended a draining host at once and cut the streams that it still served (LOST).

Cause: leave returned at once when the host was leaving already, and the handler of the signal went on to the exit.

--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -41,7 +41,7 @@
   start(): Promise<void>;
   /**
    * Starts draining; resolves when no request is left, but not before the minimum drain time, or
-   * when the shutdown grace period is over.
+   * when the shutdown grace period is over. Called again, it changes nothing and resolves then too.
    */
   leave(): Promise<void>;
   stop(): void;
@@ -60,6 +60,7 @@
   const loads = createLoadState();
   const seedAddresses = listSeedAddresses(config.peers.seeds, config.listen.peerPort);
   let isLeaving = false;
+  let leaving: Promise<void> | undefined;
   let leavingSinceMs = Number.POSITIVE_INFINITY;
   let isConfirmed = false;
   let isLeadingReader = false;
@@ -447,6 +448,16 @@
     listeners.close();
   };
 
+  const leave = async () => {
+    isLeaving = true;
+    hosts.scheduleUrgentReport();
+    leavingSinceMs = clock.readMonotonicMs();
+    logger.writeEvent("gatewayLeaving", { running: forwarder.countRunning() });
+    await listeners.drain();
+    logger.writeEvent("gatewayStopped", { running: forwarder.countRunning() });
+    stop();
+  };
+
   return {
     start: async () => {
       await hosts.start();
@@ -482,18 +493,7 @@
       tick();
       logger.writeEvent("gatewayStarted", { incarnation, dataCentre: config.host.dataCentre });
     },
-    leave: async () => {
-      if (isLeaving) {
-        return;
-      }
-      isLeaving = true;
-      hosts.scheduleUrgentReport();
-      leavingSinceMs = clock.readMonotonicMs();
-      logger.writeEvent("gatewayLeaving", { running: forwarder.countRunning() });
-      await listeners.drain();
-      logger.writeEvent("gatewayStopped", { running: forwarder.countRunning() });
-      stop();
-    },
+    leave: () => leaving ??= leave(),
     stop,
     setSeeds: (seeds) => hosts.setSeeds(listSeedAddresses(seeds, config.listen.peerPort)),
   };
