Refuse what a draining host could not finish before its end

What callers saw: an order that came on a kept connection 7.49 s after the stop signal was passed on, and its connection closed without an answer when the host ended 12 ms later (LOST).

Cause: a draining host took plain requests until its end, whatever their timeout. Once callers have had the time to learn that it drains, it now refuses as not run what may outlast the time that is left.

Evidence: planned_stop_test, with callers that use their connections until the host is gone, failed before: 4 of 25 orders had run and got no answer.

--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -34,8 +34,10 @@
   readonly context: ForwardingContext;
   readonly readSettings: () => RouteSettings | undefined;
   readonly isLeaving: () => boolean;
-  /** Whether so little of the drain time is left that a new generation could not complete. */
+  /** Whether callers had the time to learn that this host drains. */
   readonly isLateInDrain: () => boolean;
+  /** Computes the milliseconds until open requests are cut; infinite unless this host leaves. */
+  readonly computeDrainLeft: () => number;
 }
 
 /** Forwards callers' requests by the published routes. */
@@ -337,12 +339,13 @@
       return;
     }
     const { route, team, requestId } = validated;
-    if (route.kind === "stream" && options.isLateInDrain()) {
+    const timeoutMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    const couldBeCut = route.kind === "stream" || timeoutMs > options.computeDrainLeft();
+    if (options.isLateInDrain() && couldBeCut) {
       incoming.resume();
       refuse(reply, "noRoomInTime");
       return;
     }
-    const timeoutMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const body = await readBody(incoming, {
       clock,
       timeoutMs,
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -18,6 +18,7 @@
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
+import { computeDrainTime } from "./compute_drain_time.ts";
 import { createActiveSettings } from "./create_active_settings.ts";
 import { createColdNotices } from "./create_cold_notices.ts";
 import { createEvacuationWiring } from "./create_evacuation_wiring.ts";
@@ -338,6 +339,8 @@
     readSettings: () => readSettings(),
     isLeaving: () => isLeaving,
     isLateInDrain: () => clock.readMonotonicMs() - leavingSinceMs >= GATEWAY_LIMITS.minDrainMs,
+    computeDrainLeft: () =>
+      leavingSinceMs + computeDrainTime(config.shutdown) - clock.readMonotonicMs(),
   });
 
   const recordEra = (next: number, by: string) => {
--- a/packages/daemon/src/gateway/create_gateway_listeners.ts
+++ b/packages/daemon/src/gateway/create_gateway_listeners.ts
@@ -2,6 +2,7 @@
 import type { RequestListener, Server } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerLimits } from "../routes/mod.ts";
+import { computeDrainTime } from "./compute_drain_time.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
 import type { GatewayAnswers } from "./create_gateway_answers.ts";
 import type { GatewayConfig } from "./gateway_config_schema.ts";
@@ -91,7 +92,7 @@
       if (callers !== undefined) {
         await waitForDrain({
           clock,
-          graceMs: shutdown.graceSeconds * 1_000 - GATEWAY_LIMITS.exitReserveMs,
+          graceMs: computeDrainTime(shutdown),
           countOpen: options.countOpen,
           server: callers,
           connections,
