Read the path of any request target at the directory

A request for the target // at the directory's address ended the process: the target was parsed as a URL, which throws, in the listener of the server. Any caller could stop a host. The path is now taken from the text of the target.

--- a/packages/daemon/src/gateway/create_gateway_answers.ts
+++ b/packages/daemon/src/gateway/create_gateway_answers.ts
@@ -26,7 +26,7 @@
   const { directory, metrics } = options;
   return {
     answerDirectory: (target, response) => {
-      if (new URL(target, "http://directory").pathname !== directory.directoryPath) {
+      if (getPath(target) !== directory.directoryPath) {
         response.writeHead(404).end();
         return;
       }
@@ -40,7 +40,7 @@
       response.writeHead(200, { "Content-Type": "application/json" }).end(body);
     },
     answerReadiness: (target, response) => {
-      const isReadinessPath = target.split("?")[0] === directory.readinessPath;
+      const isReadinessPath = getPath(target) === directory.readinessPath;
       response.writeHead(isReadinessPath ? (options.isReady() ? 200 : 503) : 404).end();
     },
     answerMetrics: async (response) => {
@@ -49,3 +49,8 @@
     },
   };
 }
+
+/** Returns the path of a request target of any form; it need not be part of a valid URL. */
+function getPath(target: string): string {
+  return target.replace(/^https?:\/\/[^/?]*/i, "").split("?")[0] ?? "";
+}
