Stop a generation at an engine whose connection fell silent

Cause: after 1.2 s without an event a generation resumes from its backup copy, and the former stream is closed. On a connection that has fallen silent for good the engine does not learn of that; it writes into the connection until the generation is complete.

The host now tells the former engine to stop, over a new connection, 100 ms after another engine took over: the last step of a move, which stops the generation first, and then frees the cache. An engine that has noticed the close says that it runs no such generation, and nothing is copied. Event 8024 tells which of the two it was. Only generations that left a silent engine cause the call.

silent_streams_test fails before (overlaps of 4,900 and 4,890 ms, 400 are allowed).

--- a/packages/daemon/src/adapters/kv_cache_client.ts
+++ b/packages/daemon/src/adapters/kv_cache_client.ts
@@ -16,7 +16,17 @@
   | { readonly type: "absent" | "busy" | "noRoom" }
   | { readonly type: "failed"; readonly reason: string };
 
-/** Copies the KV cache of generations between engines. */
+/**
+ * Outcome of a stop: `stopped`; `absent` when the engine runs no such generation; `failed` when it
+ * sent no usable response.
+ */
+export type GenerationStopResult =
+  | { readonly type: "stopped" | "absent" }
+  | { readonly type: "failed"; readonly reason: string };
+
+/** Calls to engines about the KV cache of generations. */
 export interface KvCacheClient {
   copyKvCache(request: KvCacheCopyRequest): Promise<KvCacheCopyResult>;
+  /** Stops a generation at the source, which `targetAddress` has taken over, and frees its cache. */
+  stopGeneration(request: KvCacheCopyRequest): Promise<GenerationStopResult>;
 }
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -33,6 +33,11 @@
   retrySpreadMs: 1_200,
   /** Maximum random jitter added to the end of a pause that all upstreams of a service ask for. */
   pauseRetrySpreadMs: 500,
+  /**
+   * Time for which an engine may notice that the stream of a generation has been closed, before it
+   * is told to stop it; an engine may run on for 400 ms beside the one that took over.
+   */
+  closeNoticeMs: 100,
   /** Timeout for copying a KV cache while the generation keeps running. */
   cacheCopyTimeoutMs: 5_000,
   /** Delay before a retry of an incomplete backup copy; it is updated several times a second. */
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -18,6 +18,7 @@
   PublishedSettings,
 } from "../adapters/deployment_feed.ts";
 export type {
+  GenerationStopResult,
   KvCacheClient,
   KvCacheCopyRequest,
   KvCacheCopyResult,
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -106,6 +106,13 @@
     title: "Generation continues at another upstream",
     action: "none",
   },
+  formerEngineStopped: {
+    number: 8024,
+    level: "info",
+    title: "Engine that fell silent was told to stop a generation that continues at another one",
+    action:
+      "none if `end` is absent; stopped means that its connection had fallen silent: check the network",
+  },
   settingsInForce: {
     number: 8030,
     level: "info",
