Refuse or answer what a draining host cannot finish, at every step

- a stream whose body was still arriving when the drain time ended was passed on and cut: the check is made again when the body is complete, for plain requests by the time that is left to them;
- a stream that still waited for room was placed when room came, seconds before the end, and cut: it is refused, not run, so that its caller goes to another host;
- a request without a response at the end of the drain, a stream whose engine has not begun for instance, lost its connection: it gets 'outcome unknown', or a refusal if nothing was sent, 300 ms before the process ends;
- the same for a request that had been handed to another host.

A request is now passed on late only if 250 ms are left after its deadline to send its response, and the refusal names the shutdown in place of buffered bodies. Reads that are tried again are covered by the third: they are answered at the end of the drain.

--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -1,5 +1,7 @@
 /** Limits of request forwarding. Times are in milliseconds. */
 export const FORWARDING_LIMITS = {
+  /** Time between the deadline of a request and the end of a draining host, to send a response. */
+  drainReserveMs: 250,
   /** Timeout for connecting to an upstream; the deployments' links respond within 20 ms. */
   connectTimeoutMs: 400,
   /** Largest buffered response of a plain service; the outcome of a larger one is unknown. */
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -3,7 +3,7 @@
 import { estimateRemainingTokens } from "../balancing/mod.ts";
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { chooseService } from "../routes/mod.ts";
-import type { RouteSettings } from "../routes/mod.ts";
+import type { RequestKind, RouteSettings } from "../routes/mod.ts";
 import type { AcceptedHandover } from "../handover/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { CallerReply } from "./caller_reply.ts";
@@ -53,13 +53,24 @@
   countRunning(): number;
   /** Counts the requests, arriving ones included, whose response has not been sent completely. */
   countOpen(): number;
+  /** Ends all open requests at the end of a drain; those without a response get one. */
+  endOpen(): void;
   start(): void;
   stop(): void;
 }
 
+/** A request whose response has not been sent completely. */
+interface OpenRequest {
+  readonly reply: CallerReply;
+  /** Its body has been read, so an upstream may execute it. */
+  isForwarded: boolean;
+}
+
 /** Shortest interval between checks, as a share of the mean one. */
 const MIN_TICK_SHARE = 0.5;
 
+const DRAIN_DETAIL = "this host shuts down before the request's time is over";
+
 const BODY_REFUSALS = {
   tooLarge: "bodyTooLarge",
   tooSlow: "bodyTooSlow",
@@ -72,8 +83,8 @@
   const { clock, logger, metrics } = context;
   const waitQueue = createWaitQueue();
   const runs = new Set<GenerationRun>();
+  const open = new Set<OpenRequest>();
   let running = 0;
-  let open = 0;
   let bufferedBytes = 0;
   let timer: Timer | undefined;
   let isIdle = false;
@@ -139,6 +150,13 @@
     },
   });
 
+  /** Whether a request that starts now could be cut by the end of this host. */
+  const couldBeCut = (kind: RequestKind, leftMs: number) =>
+    options.isLateInDrain() &&
+    (kind === "stream" || leftMs + FORWARDING_LIMITS.drainReserveMs > options.computeDrainLeft());
+  const refuseInDrain = (reply: CallerReply) =>
+    reply.refuse("noRoomInTime", DRAIN_DETAIL, computeRetryAfter(context.random));
+
   const checkRun = (run: GenerationRun, nowMs: number) => {
     const { request } = run;
     const isUnexecuted = run.phase === "waiting" && run.executedAttempts === 0;
@@ -170,6 +188,11 @@
       run.finish("unknown");
       return;
     }
+    if (isUnexecuted && options.isLateInDrain()) {
+      refuseInDrain(request.reply);
+      run.finish("refused");
+      return;
+    }
     const isSilent = nowMs - run.lastEventAtMs > FORWARDING_LIMITS.eventTimeoutMs &&
       nowMs >= run.silenceCheckAtMs;
     const hasBackup = run.inFlight?.copyUpstreamId !== undefined;
@@ -293,8 +316,6 @@
   };
 
   const handleRequest: Forwarder["handleRequest"] = async (incoming, response, handover) => {
-    open++;
-    response.once("close", () => open--);
     const arrivedAtMs = clock.readMonotonicMs() - (handover?.ageMs ?? 0);
     const settings = options.readSettings();
     const rawHeaders = handover?.rawHeaders ?? incoming.rawHeaders;
@@ -320,6 +341,9 @@
         }),
       ...(handover === undefined ? {} : { listOwnHeaders: handover.listResponseHeaders }),
     });
+    const entry: OpenRequest = { reply, isForwarded: false };
+    open.add(entry);
+    response.once("close", () => open.delete(entry));
     if (settings === undefined) {
       incoming.resume();
       refuse(reply, "settingsUnknown");
@@ -340,10 +364,9 @@
     }
     const { route, team, requestId } = validated;
     const timeoutMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
-    const couldBeCut = route.kind === "stream" || timeoutMs > options.computeDrainLeft();
-    if (options.isLateInDrain() && couldBeCut) {
+    if (couldBeCut(route.kind, timeoutMs)) {
       incoming.resume();
-      refuse(reply, "noRoomInTime");
+      refuseInDrain(reply);
       return;
     }
     const body = await readBody(incoming, {
@@ -352,7 +375,7 @@
       maxBytes: settings.limits.maxBodyBytes,
       readBufferedBytes: () => bufferedBytes,
     });
-    if (body.type === "callerLeft") {
+    if (body.type === "callerLeft" || reply.hasEnded()) {
       return;
     }
     if (body.type !== "complete") {
@@ -361,6 +384,10 @@
       refuse(reply, BODY_REFUSALS[body.type]);
       return;
     }
+    if (couldBeCut(route.kind, arrivedAtMs + timeoutMs - clock.readMonotonicMs())) {
+      refuseInDrain(reply); // the drain has begun, or gone on, while the body arrived
+      return;
+    }
     const service = settings.services.get(chooseService(route, context.random) ?? "");
     if (service === undefined) {
       refuse(reply, "noUpstreamLeft");
@@ -404,6 +431,7 @@
         afterEvent: head.lastEventId,
       });
     }
+    entry.isForwarded = true;
     try {
       await forward(request);
     } catch (error) {
@@ -415,7 +443,16 @@
     handleRequest,
     migrateFrom: (upstream) => migrateNext(upstream.record.id),
     countRunning: () => running,
-    countOpen: () => open,
+    countOpen: () => open.size,
+    endOpen: () => {
+      for (const { reply, isForwarded } of open) {
+        if (reply.hasStarted()) {
+          continue; // it is cut, which its caller notices
+        }
+        isForwarded ? reply.refuse("outcomeUnknown", DRAIN_DETAIL) : refuseInDrain(reply);
+      }
+      runs.forEach((run) => run.finish("hostStopped"));
+    },
     start: () => tick(),
     stop: () => timer?.cancel(),
   };
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -399,6 +399,7 @@
       forward(request, response, accepted);
     },
     countOpen: forwarder.countOpen,
+    endOpen: forwarder.endOpen,
   });
 
   const checkState = () => {
--- a/packages/daemon/src/gateway/create_gateway_listeners.ts
+++ b/packages/daemon/src/gateway/create_gateway_listeners.ts
@@ -19,6 +19,8 @@
   readonly handleHandover: RequestListener;
   /** Counts the requests whose response has not been sent completely. */
   readonly countOpen: () => number;
+  /** Ends the open requests at the end of a drain; those without a response get one. */
+  readonly endOpen: () => void;
 }
 
 /** The HTTP listeners of a gateway: for callers, other hosts, readiness, directory and metrics. */
@@ -94,6 +96,7 @@
           clock,
           graceMs: computeDrainTime(shutdown),
           countOpen: options.countOpen,
+          endOpen: options.endOpen,
           server: callers,
           connections,
         });
--- a/packages/daemon/src/gateway/wait_for_drain.ts
+++ b/packages/daemon/src/gateway/wait_for_drain.ts
@@ -10,6 +10,8 @@
   readonly graceMs: number;
   /** Counts the requests whose response has not been sent completely. */
   readonly countOpen: () => number;
+  /** Ends the open requests; those without a response get one. */
+  readonly endOpen: () => void;
   /** The listener for callers, and its open connections. */
   readonly server: Server;
   readonly connections: ReadonlySet<Socket>;
@@ -30,6 +32,10 @@
   await waitUntil(() =>
     clock.readMonotonicMs() - startMs >= GATEWAY_LIMITS.minDrainMs && options.countOpen() === 0
   );
+  if (options.countOpen() > 0) {
+    options.endOpen();
+    await new Promise<void>((resolve) => clock.startTimer(GATEWAY_LIMITS.lastAnswersMs, resolve));
+  }
   server.close();
   await waitUntil(() => {
     server.closeIdleConnections();
