Stop a generation at a quiet engine whatever makes it leave

Cause: only generations that left because of the silence were stopped at their former engine; those that left a draining engine, from a copy or to run again, were left to the close of a connection that was silent already.

Each generation that leaves an engine from which nothing has come for 200 ms is now stopped there, whatever the reason. Events of a running generation come every 30 to 80 ms, so few other moves cause a call.

silent_streams_test fails before for a draining engine (5,270 ms of overlap, and 5,570 ms for a resumable stream).

--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -40,6 +40,15 @@
    * is told to stop it; an engine may run on for 400 ms beside the one that took over.
    */
   closeNoticeMs: 100,
+  /**
+   * Time without an event after which the connection to an engine may have fallen silent: closing it
+   * does not count as telling the engine.
+   */
+  quietMs: 200,
+  /** Maximum number of calls to stop a generation at its former engine, each after twice the wait. */
+  maxStopTries: 4,
+  /** Timeout of such a call. The engine stops first and then copies, so it has stopped by then. */
+  stopTimeoutMs: 1_000,
   /** Timeout for copying a KV cache while the generation keeps running. */
   cacheCopyTimeoutMs: 5_000,
   /** Delay before a retry of an incomplete backup copy; it is updated several times a second. */
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -11,7 +11,6 @@
 import type { GenerationRun, GenerationStream } from "./generation_run.ts";
 import { resumeGeneration } from "./resume_generation.ts";
 import { sendEvent } from "./send_event.ts";
-import { stopFormerEngine } from "./stop_former_engine.ts";
 import { waitFor } from "./wait_for.ts";
 
 const LIMIT_REACHED = "the upstream has reached the limit that it names";
@@ -42,7 +41,6 @@
   if (!canMove && findBackupCopy(context, run) === undefined) {
     return; // it stays on its engine until it ends
   }
-  const former = run.upstream;
   run.isMigrating = true;
   try {
     const isFromBackup = await tryBackupCopy(context, run, reason);
@@ -52,11 +50,6 @@
   } finally {
     run.isMigrating = false;
   }
-  const { request, upstream: current } = run;
-  const isTakenOver = former !== undefined && current !== undefined && current !== former;
-  if (reason === "silent" && isTakenOver && request.service.engine?.canMove === true) {
-    await stopFormerEngine(context, { request, former, current });
-  }
 }
 
 /** Resumes from the backup copy; retries, because a recent copy may still be in transfer. */
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -10,6 +10,7 @@
 import { recordReachability } from "./record_reachability.ts";
 import { openGenerationExchange } from "./open_generation_exchange.ts";
 import { relayEvents } from "./relay_events.ts";
+import { stopQuietEngine } from "./stop_quiet_engine.ts";
 
 /** Options of {@link resumeGeneration}. */
 export interface ResumeOptions {
@@ -101,6 +102,9 @@
       }
       if (run.upstream !== undefined) {
         run.tried.add(run.upstream.record.id);
+        if (formerStream?.closed === undefined) {
+          stopQuietEngine(context, run, upstream);
+        }
       }
       run.phase = "running";
       run.stream = stream;
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -29,6 +29,7 @@
 import type { RefusalCode } from "./refusal_details.ts";
 import { restoreGeneration } from "./restore_generation.ts";
 import { relayEvents } from "./relay_events.ts";
+import { stopQuietEngine } from "./stop_quiet_engine.ts";
 
 /** Options of {@link runGeneration}. */
 export interface GenerationOptions {
@@ -271,6 +272,9 @@
       budget.countRetry();
     }
     isRetryCounted = false;
+    if (rerun?.cause === "draining") {
+      stopQuietEngine(context, run, upstream);
+    }
     run.phase = "running";
     run.upstream = upstream;
     run.inFlight = inFlight;
--- a/packages/daemon/src/forwarding/stop_former_engine.ts
+++ b/packages/daemon/src/forwarding/stop_former_engine.ts
@@ -17,32 +17,47 @@
 
 /**
  * Stops a generation at its former engine. Closing its stream does not reach an engine whose
- * connection has fallen silent; that engine would run on beside the other one.
+ * connection has fallen silent; that engine would run on beside the other one. A call that fails is
+ * repeated a few times, as connections may also be cut.
  */
 export async function stopFormerEngine(
   context: Pick<ForwardingContext, "clock" | "kvCache" | "limits" | "logger" | "upstreams">,
   { request, former, current }: TakenOverGeneration,
 ): Promise<void> {
-  await waitFor(context.clock, FORWARDING_LIMITS.closeNoticeMs);
-  const permit = await claimPermit(context, {
-    upstream: former,
-    priority: FORWARDING_LIMITS.resumePriority,
-    waitMs: FORWARDING_LIMITS.movePermitTimeoutMs,
-    patientMs: FORWARDING_LIMITS.movePermitTimeoutMs,
-  });
-  const pauseMs = getPauseMs(context.upstreams, former.record, context.clock.readMonotonicMs());
-  if (permit.type === "refused" || pauseMs > 0) {
-    return; // the engine takes no call now; its own deadline ends the generation
+  let end = "pause or limit"; // the engine takes no call now; its own deadline ends the generation
+  for (let tries = 0; tries < FORWARDING_LIMITS.maxStopTries; tries++) {
+    await waitFor(context.clock, FORWARDING_LIMITS.closeNoticeMs * 2 ** tries);
+    if (!await canCall(context, former)) {
+      break;
+    }
+    const result = await context.kvCache.stopGeneration({
+      sourceAddress: former.record.address,
+      targetAddress: current.record.address,
+      requestId: request.requestId,
+      timeoutMs: FORWARDING_LIMITS.stopTimeoutMs,
+    });
+    end = result.type === "failed" ? result.reason : result.type;
+    if (result.type !== "failed") {
+      break;
+    }
   }
-  const result = await context.kvCache.stopGeneration({
-    sourceAddress: former.record.address,
-    targetAddress: current.record.address,
-    requestId: request.requestId,
-    timeoutMs: FORWARDING_LIMITS.cacheCopyTimeoutMs,
-  });
   context.logger.writeEvent("formerEngineStopped", {
     request: request.requestId,
     upstream: former.record.id,
-    end: result.type === "failed" ? result.reason : result.type,
+    end,
+  });
+}
+
+async function canCall(
+  context: Pick<ForwardingContext, "clock" | "limits" | "upstreams">,
+  upstream: Upstream,
+): Promise<boolean> {
+  const permit = await claimPermit(context, {
+    upstream,
+    priority: FORWARDING_LIMITS.resumePriority,
+    waitMs: FORWARDING_LIMITS.movePermitTimeoutMs,
+    patientMs: FORWARDING_LIMITS.movePermitTimeoutMs,
   });
+  const nowMs = context.clock.readMonotonicMs();
+  return permit.type === "granted" && getPauseMs(context.upstreams, upstream.record, nowMs) === 0;
 }
