--- a/packages/daemon/src/forwarding/stop_former_engine.ts
+++ b/packages/daemon/src/forwarding/stop_former_engine.ts
@@ -27,7 +27,7 @@
   let end = "pause or limit"; // the engine takes no call now; its own deadline ends the generation
   for (let tries = 0; tries < FORWARDING_LIMITS.maxStopTries; tries++) {
     await waitFor(context.clock, FORWARDING_LIMITS.closeNoticeMs * 2 ** tries);
-    if (!await canCall(context, former)) {
+    if (!await isCallable(context, former)) {
       break;
     }
     const result = await context.kvCache.stopGeneration({
@@ -48,7 +48,7 @@
   });
 }
 
-async function canCall(
+async function isCallable(
   context: Pick<ForwardingContext, "clock" | "limits" | "upstreams">,
   upstream: Upstream,
 ): Promise<boolean> {
