--- a/packages/daemon/src/adapters/create_buffered_logger.ts
+++ b/packages/daemon/src/adapters/create_buffered_logger.ts
@@ -13,8 +13,8 @@
 
 /** A logger whose buffer can be flushed before the process ends. */
 export interface BufferedLogger extends Logger {
-  /** Resolves when every line has been written or the flush has timed out. */
-  flush(): Promise<void>;
+  /** Resolves to whether every line has been written; to false after a timeout. */
+  flush(): Promise<boolean>;
 }
 
 /**
@@ -71,16 +71,16 @@
     flush: () =>
       new Promise((resolve) => {
         if (!isWriting) {
-          resolve();
+          resolve(true);
           return;
         }
         const timer = clock.startTimer(FLUSH_TIMEOUT_MS, () => {
           metrics.increment("log.dropped"); // the reader has stalled or closed its end
-          resolve();
+          resolve(false);
         });
         out.once("drain", () => {
           timer.cancel();
-          resolve();
+          resolve(true);
         });
       }),
   };
--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -57,7 +57,7 @@
   /** Part of the shutdown grace period reserved for the exit of the process. */
   exitReserveMs: 500,
   /** Part of that time in which the responses to requests that are still open are sent. */
-  lastAnswersMs: 200,
+  lastAnswersMs: 100,
   /** Largest header block that the parser accepts; the settings may limit it further. */
   maxParsedHeaderBytes: 65_536,
   /** Interval between checks of the timeouts of idle and slow connections. */
