Take a read's lost connection for a crash only if its upstream accepts none

Cause: a connection that was lost before the first byte counted as a crash of the upstream, and two crashes in common quarantine a request. The network resets connections too.

After the loss the upstream itself is now asked for a connection, once for all requests that lost it at that moment; it has crashed if it accepts none. One that must not be probed counts as crashed, as before. Generations are left as they were.

--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -37,7 +37,10 @@
     | "recordEnd"
   >;
   readonly localHost: string;
-  readonly reachability: Pick<Reachability, "isUnreachable" | "isCutOff" | "verifyLinks">;
+  readonly reachability: Pick<
+    Reachability,
+    "hasCrashed" | "isUnreachable" | "isCutOff" | "verifyLinks"
+  >;
   readonly handover: Handover;
   readonly quarantine: Pick<
     Quarantine,
--- a/packages/daemon/src/forwarding/record_upstream_loss_test.ts
+++ b/packages/daemon/src/forwarding/record_upstream_loss_test.ts
@@ -22,6 +22,7 @@
     isUnreachable: () => false,
     isCutOff: () => false,
     verifyLinks: () => Promise.resolve(true),
+    hasCrashed: () => Promise.resolve(true),
   };
   const recordLosses = async (...records: readonly UpstreamRecord[]) => {
     const upstreams = createUpstreamState();
--- a/packages/daemon/src/forwarding/run_plain_request.ts
+++ b/packages/daemon/src/forwarding/run_plain_request.ts
@@ -100,7 +100,11 @@
     });
     lastAnswer = answer;
     if (answer.isConnectionLost) {
-      await recordUpstreamLoss(context, request, upstream);
+      const { id, service } = upstream.record;
+      // A reset alone says little of the request: the network resets connections too.
+      if (await context.reachability.hasCrashed(id, service)) {
+        await recordUpstreamLoss(context, request, upstream);
+      }
     } else if (answer.outcome === "answered") {
       context.quarantine.recordRequestEnd(request.fingerprint, true);
     }
--- a/packages/daemon/src/reachability/create_reachability.ts
+++ b/packages/daemon/src/reachability/create_reachability.ts
@@ -47,6 +47,11 @@
    * its connection to one. True if there is no other one to probe.
    */
   verifyLinks(lostUpstreamId: string): Promise<boolean>;
+  /**
+   * Resolves to whether an upstream accepts no connection after one to it was lost. One that must
+   * not be probed counts as crashed.
+   */
+  hasCrashed(upstreamId: string, service: string): Promise<boolean>;
   /** Whether this host reaches no upstream of several services, and of no other one. */
   isCutOff(): boolean;
   /** Probes the services that a host of the same data centre has begun to report as unreachable. */
@@ -68,6 +73,7 @@
   const services = new Map<string, ServiceReachability>();
   const probes = new Map<string, Promise<boolean>>();
   const probedAtMs = new Map<string, number>();
+  const crashChecks = new Map<string, Promise<boolean>>();
   const reportedByHost = new Map<string, readonly string[]>();
   const getState = (service: string) => {
     const known = services.get(service);
@@ -184,9 +190,25 @@
     }
   };
 
+  const checkCrash = async (upstreamId: string, service: string) => {
+    const upstream = options.listUpstreams(service).find(({ id }) => id === upstreamId);
+    const isUp = upstream?.canProbe === true &&
+      await options.probeConnection(upstream.address, {
+        timeoutMs: REACHABILITY_LIMITS.probeTimeoutMs,
+        holdMs: REACHABILITY_LIMITS.probeHoldMs,
+      });
+    crashChecks.delete(upstreamId);
+    return !isUp;
+  };
+
   return {
     recordFailure,
     recordContact,
+    hasCrashed: (upstreamId, service) => {
+      const check = crashChecks.get(upstreamId) ?? checkCrash(upstreamId, service);
+      crashChecks.set(upstreamId, check);
+      return check;
+    },
     verifyLinks: async (lostUpstreamId) => {
       if (isCutOff()) {
         return false;
