Stop a generation at an engine whose response to a resume was lost

Cause: after the 800 ms for the response the host closed the connection, which the engine did not notice, and went back to the source.

The engine is now told to stop over a new connection before anything else is tried, for at most 100 ms. No stop is sent to an engine at which the generation runs or is being resumed again.

--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -44,6 +44,8 @@
   stream: GenerationStream | undefined;
   /** Stream of the engine that is requested to resume it from a copy of its KV cache. */
   resumingStream: GenerationStream | undefined;
+  /** That engine, until it responds or is given up. */
+  resumingAt: Upstream | undefined;
   inFlight: InFlightRequest | undefined;
   /** Ids of the engines that it was sent to; a run again prefers others. */
   readonly tried: Set<string>;
@@ -81,4 +83,6 @@
   readonly leaveDraining: () => boolean;
   /** Ends the run. */
   finish: (end: string) => void;
+  /** Reports an error in work that goes on beside the run. */
+  readonly reportFault: (error: unknown) => void;
 }
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -4,12 +4,14 @@
 import type { Upstream } from "../upstreams/mod.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import { createGenerationStream } from "./create_generation_stream.ts";
+import { FORWARDING_LIMITS } from "./constants.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
 import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordReachability } from "./record_reachability.ts";
 import { openGenerationExchange } from "./open_generation_exchange.ts";
 import { relayEvents } from "./relay_events.ts";
+import { stopEngine } from "./stop_engine.ts";
 import { stopQuietEngine } from "./stop_quiet_engine.ts";
 
 /** Options of {@link resumeGeneration}. */
@@ -68,13 +70,24 @@
   const formerStream = run.stream;
   const stream = createGenerationStream();
   run.resumingStream = stream;
+  run.resumingAt = upstream;
   const timer = context.clock.startTimer(options.timeoutMs, () => {
     // Another engine may run it next, so this one has to stop at once.
     stream.exchange?.abort(request.route.isResumable);
-    options.refuse("no response within the resume timeout", false);
+    run.resumingAt = undefined;
+    giveUpSilent().catch(run.reportFault);
   });
+  /** Its response may have been lost on a connection that has fallen silent. */
+  const giveUpSilent = async () => {
+    const timeoutMs = FORWARDING_LIMITS.closeNoticeMs;
+    if (run.upstream !== undefined) {
+      await stopEngine(context, { run, left: upstream, current: run.upstream, timeoutMs });
+    }
+    options.refuse("no response within the resume timeout", false);
+  };
   const relay = relayEvents(context, run, stream, (failure) => {
     timer.cancel();
+    run.resumingAt = undefined;
     recordReachability(context, upstream.record.id, failure.outcome);
     if (failure.isConnectionLost) {
       recordGenerationLoss(context, run, upstream, { hasHead: false, firstEventAtMs: undefined });
@@ -103,12 +116,13 @@
       if (run.upstream !== undefined) {
         run.tried.add(run.upstream.record.id);
         if (formerStream?.closed === undefined) {
-          stopQuietEngine(context, run, upstream);
+          stopQuietEngine(context, run, upstream).catch(run.reportFault);
         }
       }
       run.phase = "running";
       run.stream = stream;
       run.resumingStream = undefined;
+      run.resumingAt = undefined;
       run.upstream = upstream;
       run.inFlight = inFlight;
       // No event has arrived on this stream; the gap to its first event is measured from here.
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -81,6 +81,8 @@
     upstream: undefined,
     stream: undefined,
     resumingStream: undefined,
+    resumingAt: undefined,
+    reportFault: options.reportFault,
     inFlight: undefined,
     tried,
     formerEvents: isResumable
@@ -273,7 +275,7 @@
     }
     isRetryCounted = false;
     if (rerun?.cause === "draining") {
-      stopQuietEngine(context, run, upstream);
+      stopQuietEngine(context, run, upstream).catch(options.reportFault);
     }
     run.phase = "running";
     run.upstream = upstream;
--- a/packages/daemon/src/forwarding/stop_quiet_engine.ts
+++ b/packages/daemon/src/forwarding/stop_quiet_engine.ts
@@ -2,27 +2,29 @@
 import { FORWARDING_LIMITS } from "./constants.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun } from "./generation_run.ts";
-import { stopFormerEngine } from "./stop_former_engine.ts";
+import { stopEngine } from "./stop_engine.ts";
+import { waitFor } from "./wait_for.ts";
 
 /**
  * Stops a generation at the engine that it leaves for `current` if that engine has been quiet, so
- * that the close of its stream may not reach it. Called before the run's fields name `current`.
+ * that the close of its stream may not reach it. Called before the run's fields name `current`. A
+ * call that fails is repeated a few times, as connections may be cut as well.
  */
-export function stopQuietEngine(
+export async function stopQuietEngine(
   context: ForwardingContext,
   run: GenerationRun,
   current: Upstream,
-): void {
-  const { request, upstream: former } = run;
+): Promise<void> {
+  const left = run.upstream;
   const quietMs = context.clock.readMonotonicMs() - run.lastEventAtMs;
-  const canStop = request.service.engine?.canMove === true;
-  if (former === undefined || !canStop || quietMs < FORWARDING_LIMITS.quietMs) {
+  if (left === undefined || quietMs < FORWARDING_LIMITS.quietMs) {
     return;
   }
-  stopFormerEngine(context, { request, former, current }).catch((error) =>
-    context.logger.writeEvent("requestFailed", {
-      request: request.requestId,
-      reason: error instanceof Error ? error.stack ?? error.message : String(error),
-    })
-  );
+  const timeoutMs = FORWARDING_LIMITS.stopTimeoutMs;
+  for (let tries = 0; tries < FORWARDING_LIMITS.maxStopTries; tries++) {
+    await waitFor(context.clock, FORWARDING_LIMITS.closeNoticeMs * 2 ** tries);
+    if (await stopEngine(context, { run, left, current, timeoutMs })) {
+      return;
+    }
+  }
 }
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -106,10 +106,10 @@
     title: "Generation continues at another upstream",
     action: "none",
   },
-  formerEngineStopped: {
+  engineStopped: {
     number: 8024,
     level: "info",
-    title: "Engine that fell silent was told to stop a generation that continues at another one",
+    title: "Engine that may have fallen silent was told to stop a generation that left it",
     action:
       "none if `end` is absent; stopped means that its connection had fallen silent: check the network",
   },
