Open no connection to a peer after the transport has been closed

Cause: a late message, from a timer or a request that ends during the shutdown, dialled its peer again after all connections had been closed. The transport now refuses to dial once it is closed, and ends a connection that opens while it is being closed.

create_peer_transport_test fails before (the late message arrives, on a new connection).

--- a/packages/daemon/src/peers/create_peer_transport.ts
+++ b/packages/daemon/src/peers/create_peer_transport.ts
@@ -54,6 +54,7 @@
   const traffic = createPeerTraffic();
   let server: WebSocketServer | undefined;
   let nextId = 1;
+  let isClosed = false;
 
   const sendFrame = (socket: WebSocket, channel: string, frame: PeerFrame) =>
     traffic.recordSent(channel, sendPeerFrame(socket, frame));
@@ -158,6 +159,10 @@
       throw new Error(`no known address for host ${host}`);
     }
     const socket = await dialPeer({ ...options, target: host, address });
+    if (isClosed) {
+      socket.terminate();
+      throw new Error("the transport is closed");
+    }
     options.logger.writeEvent("peerConnected", { peer: host });
     socket.on("message", (data) => handleFrame(socket, host, data as Uint8Array));
     socket.on("close", () => {
@@ -184,6 +189,9 @@
     if (existing !== undefined) {
       return existing;
     }
+    if (isClosed) {
+      return Promise.reject(new Error("the transport is closed"));
+    }
     const waitMs = (failures.get(host)?.retryAtMs ?? 0) - options.clock.readMonotonicMs();
     if (waitMs > 0) {
       return Promise.reject(
@@ -271,6 +279,7 @@
       traffic: traffic.dumpState(),
     }),
     close: async () => {
+      isClosed = true; // a connection that is opened later would keep the process from ending
       for (const opening of dialed.values()) {
         await opening.then((socket) => socket.terminate(), () => {});
       }
