Keep a daemon of the own interface that gets a hangup

Callers saw: streams and orders cut when a crocussaild of the own interface got SIGHUP, while it served and while it drained.

Cause: no listener; a hangup ends a Node.js process.

Evidence: the process checks in npm test now send SIGTERM, SIGHUP and SIGTERM to the host that leaves.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,3 +1,4 @@
+import "./keep_hangups.ts";
 import { runExit } from "clipanion";
 import process from "node:process";
 import { DaemonCommand } from "./daemon_command.ts";
--- a/playground/src/run_faults.ts
+++ b/playground/src/run_faults.ts
@@ -75,9 +75,10 @@
   paused?.child.kill("SIGSTOP");
   print(`${paused?.host} paused for ${PAUSE_MS} ms`);
   await waitMs(STEP_MS);
-  leaving?.child.kill("SIGTERM");
+  // A hangup and a repeated stop signal must not end a draining process.
+  (["SIGTERM", "SIGHUP", "SIGTERM"] as const).forEach((signal) => leaving?.child.kill(signal));
   print(
-    `${leaving?.host} got SIGTERM; callers cache entry responses for ${PLAYGROUND.entryTtlMs} ms`,
+    `${leaving?.host} got SIGTERM, SIGHUP and SIGTERM; callers cache entry responses for ${PLAYGROUND.entryTtlMs} ms`,
   );
   await startHost(KILLED_INDEX);
   print(`${killed?.host} replaced by a new process`);
