Accept callers only when all other addresses of a host are open

Callers saw: requests cut without a response when a host could not open one of its addresses. It opened the callers' address first, took requests, and ended when, for example, its metrics port was in use.

Cause: the start was given up, and the process ended, before the work that it had accepted was done.

Evidence: occupied_port_test connected to the callers' address of a host whose start had failed ('connected' in place of ECONNREFUSED).

The callers' address is now opened last, that for handed-over requests before it, so a start that fails has accepted none.

--- a/packages/daemon/src/gateway/create_gateway_listeners.ts
+++ b/packages/daemon/src/gateway/create_gateway_listeners.ts
@@ -51,27 +51,9 @@
   };
 
   return {
+    // Requests are accepted last: the process ends if any address cannot be opened.
     open: async () => {
-      callers = await openHttpListener(listen.callers, {
-        maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
-        requestTimeout: 0, // reading a slow body is bounded by the request's own timeout
-        connectionsCheckingInterval: GATEWAY_LIMITS.connectionCheckMs,
-        noDelay: true,
-      }, options.handleRequest);
-      callers.on("connection", (socket) => {
-        connections.add(socket);
-        socket.once("close", () => connections.delete(socket));
-      });
-      if (limits !== undefined) {
-        applyLimits(limits);
-      }
       listeners.push(
-        callers,
-        await openHttpListener(`${host.address}:${listen.peerPort}`, {
-          maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
-          requestTimeout: 0, // reading a slow body is bounded by the request's own timeout
-          noDelay: true,
-        }, options.handleHandover),
         await openHttpListener(
           listen.readiness,
           {},
@@ -87,7 +69,26 @@
           {},
           (_request, response) => answers.answerMetrics(response),
         ),
+        await openHttpListener(`${host.address}:${listen.peerPort}`, {
+          maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
+          requestTimeout: 0, // reading a slow body is bounded by the request's own timeout
+          noDelay: true,
+        }, options.handleHandover),
       );
+      callers = await openHttpListener(listen.callers, {
+        maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
+        requestTimeout: 0, // reading a slow body is bounded by the request's own timeout
+        connectionsCheckingInterval: GATEWAY_LIMITS.connectionCheckMs,
+        noDelay: true,
+      }, options.handleRequest);
+      callers.on("connection", (socket) => {
+        connections.add(socket);
+        socket.once("close", () => connections.delete(socket));
+      });
+      listeners.push(callers);
+      if (limits !== undefined) {
+        applyLimits(limits);
+      }
     },
     applyLimits,
     drain: async () => {
