Log the state of the former engine's stream when a generation goes on elsewhere

It now names the former engine, whether its stream was open, ended or had failed, and the time since its last event.

--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -109,6 +109,11 @@
         stream.exchange?.abort();
         return;
       }
+      const former = {
+        former: run.upstream?.record.id ?? "none",
+        formerStream: formerStream?.closed ?? "open",
+        formerQuietMs: Math.round(context.clock.readMonotonicMs() - run.lastEventAtMs),
+      };
       if (formerStream !== undefined) {
         formerStream.isDetached = true;
         formerStream.exchange?.abort();
@@ -133,6 +138,7 @@
         request: request.requestId,
         upstream: upstream.record.id,
         way: options.way,
+        ...former,
         copy: backupTarget?.record.id ?? "none",
         afterEvent: run.lastEventId ?? -1,
         tookMs: Math.round(run.lastEventAtMs - startMs),
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -103,7 +103,8 @@
   generationContinued: {
     number: 8022,
     level: "info",
-    title: "Generation continues at another upstream",
+    title:
+      "Generation continues at another upstream, with the state of the stream of the former one",
     action: "none",
   },
   engineStopped: {
