Confirm that the former engine has stopped when a generation goes on elsewhere

What callers saw: something that must run once ran at two engines (27 cases on 69 hosts).

Cause: a second engine began and nothing showed that the first had stopped. Its stream was closed, and it was told to stop only if its last event was older than 200 ms and its stream had not failed. So it ran on when the connection was reset or ended on the host's side only, when it fell silent as a move began, and, with all connections sound, for as long as the response of the second engine or the host's own timers took.

Change: stop_former_engine calls the former engine over a new connection whenever a generation goes on elsewhere: when the other engine responds, or 150 ms after it was asked, before a generation resumes whose stream has failed, and before it is run again. Only the engine's response counts: a handle, or that it runs no such generation; a 503 without a handle does not. An engine that cannot be reached is told again until it responds, is gone, or the deadline has passed. One that must not be called (pause, limit, evacuation) is waited for, or the request ends. A host whose timers are late stops the former engine first. A generation that was stopped in vain returns to its engine from the KV cache kept there.

Why it works: the time at two engines no longer depends on what a connection passes on, and it is bounded by the host's own wait and one call.

--- a/packages/daemon/src/adapters/kv_cache_client.ts
+++ b/packages/daemon/src/adapters/kv_cache_client.ts
@@ -6,6 +6,13 @@
   readonly timeoutMs: number;
 }
 
+/** A request to free a KV cache at the engine that keeps it, and its copy at the target. */
+export interface KvCacheFreeRequest {
+  readonly sourceAddress: string;
+  readonly handle: string;
+  readonly timeoutMs: number;
+}
+
 /**
  * Outcome of a copy: `copied`; `absent` when the source runs no such generation; `busy` while an
  * earlier copy is in progress; `noRoom` when the target has no room or cannot be reached; `failed`
@@ -17,16 +24,20 @@
   | { readonly type: "failed"; readonly reason: string };
 
 /**
- * Outcome of a stop: `stopped`; `absent` when the engine runs no such generation; `failed` when it
- * sent no usable response.
+ * Outcome of a stop: `stopped`, with the handle of the KV cache that the source keeps, and whether
+ * the target has received all of it; `absent` when the engine runs no such
+ * generation; `failed` when it sent no usable response, so that it may run on.
  */
 export type GenerationStopResult =
-  | { readonly type: "stopped" | "absent" }
+  | { readonly type: "stopped"; readonly handle: string; readonly isCopied: boolean }
+  | { readonly type: "absent" }
   | { readonly type: "failed"; readonly reason: string };
 
 /** Calls to engines about the KV cache of generations. */
 export interface KvCacheClient {
   copyKvCache(request: KvCacheCopyRequest): Promise<KvCacheCopyResult>;
-  /** Stops a generation at the source, which `targetAddress` has taken over, and frees its cache. */
+  /** Stops a generation at the source, then copies the rest of its KV cache to the target. */
   stopGeneration(request: KvCacheCopyRequest): Promise<GenerationStopResult>;
+  /** Frees a KV cache that is not used; a failure is not reported, as engines expire it. */
+  freeKvCache(request: KvCacheFreeRequest): Promise<void>;
 }
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -36,19 +36,24 @@
   /** Maximum random jitter added to the end of a pause that all upstreams of a service ask for. */
   pauseRetrySpreadMs: 500,
   /**
-   * Time for which an engine may notice that the stream of a generation has been closed, before it
-   * is told to stop it; an engine may run on for 400 ms beside the one that took over.
+   * Time after a request to resume a generation at which its former engine is told to stop even
+   * without a response: two engines may run it for 400 ms. Refusals arrive before.
    */
-  closeNoticeMs: 100,
+  resumeResponseMs: 150,
+  /** Time for the last events of a generation to arrive after its engine has stopped it. */
+  lastEventsMs: 100,
   /**
-   * Time without an event after which the connection to an engine may have fallen silent: closing it
-   * does not count as telling the engine.
+   * Time for which a generation waits for its former engine to confirm that it has stopped, before
+   * it goes on elsewhere because that engine cannot be reached.
    */
-  quietMs: 200,
-  /** Maximum number of calls to stop a generation at its former engine, each after twice the wait. */
-  maxStopTries: 4,
-  /** Timeout of such a call. The engine stops first and then copies, so it has stopped by then. */
+  stopWaitMs: 300,
+  /** Timeout of a call to stop a generation; the engine stops first and then copies its KV cache. */
   stopTimeoutMs: 1_000,
+  /** Delay before the second such call; it doubles with each further one. */
+  stopRetryMs: 50,
+  maxStopRetryMs: 1_000,
+  /** Time after a drain notice for which a generation may return to the engine that stopped it. */
+  maxReturnMs: 1_500,
   /** Timeout for copying a KV cache while the generation keeps running. */
   cacheCopyTimeoutMs: 5_000,
   /** Delay before a retry of an incomplete backup copy; it is updated several times a second. */
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -13,6 +13,7 @@
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { createCallerReply } from "./create_caller_reply.ts";
 import { createEvacuationMover } from "./create_evacuation_mover.ts";
+import { createTimerDelays } from "./create_timer_delays.ts";
 import { createWaitQueue } from "./create_wait_queue.ts";
 import { digestForwardedRequest } from "./digest_forwarded_request.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
@@ -31,7 +32,7 @@
 
 /** Options of {@link createForwarder}. */
 export interface ForwarderOptions {
-  readonly context: ForwardingContext;
+  readonly context: Omit<ForwardingContext, "timerDelays">;
   readonly readSettings: () => RouteSettings | undefined;
   readonly isLeaving: () => boolean;
   /** Whether callers had the time to learn that this host drains. */
@@ -79,14 +80,18 @@
 
 /** Creates the forwarder. Its state has one entry for each request without a final response. */
 export function createForwarder(options: ForwarderOptions): Forwarder {
-  const { context } = options;
-  const { clock, logger, metrics } = context;
+  const { clock, logger, metrics } = options.context;
+  const context: ForwardingContext = {
+    ...options.context,
+    timerDelays: createTimerDelays(clock),
+  };
   const waitQueue = createWaitQueue();
   const runs = new Set<GenerationRun>();
   const open = new Set<OpenRequest>();
   let running = 0;
   let bufferedBytes = 0;
   let timer: Timer | undefined;
+  let tickDueAtMs = Number.POSITIVE_INFINITY;
   let isIdle = false;
 
   const migrateNext = (upstreamId: string) => {
@@ -96,7 +101,8 @@
       run.inFlight === undefined ? 0 : estimateRemainingTokens(run.inFlight);
     const waiting = affected
       .filter((run) =>
-        run.phase === "running" && !run.isMigrating && run.inFlight?.isPrefilling === false
+        run.phase === "running" && !run.isMigrating && !run.hasReturned &&
+        run.inFlight?.isPrefilling === false
       )
       .sort((left, right) => estimateRemaining(right) - estimateRemaining(left));
     const free = Math.max(0, FORWARDING_LIMITS.maxMigrationsPerUpstream - migrating);
@@ -232,21 +238,26 @@
     metrics.gauge("forwarding.waiting", waitQueue.count());
   };
   const tick = () => {
+    context.timerDelays.recordTimer(tickDueAtMs);
     try {
       checkRuns();
     } finally {
       // The jitter keeps hosts that wait for the same capacity from all checking at the same time.
       const delayMs = FORWARDING_LIMITS.tickMs * (MIN_TICK_SHARE + context.random.nextFloat());
       isIdle = runs.size === 0;
-      timer = clock.startTimer(isIdle ? FORWARDING_LIMITS.idleTickMs : delayMs, tick);
+      startTick(isIdle ? FORWARDING_LIMITS.idleTickMs : delayMs);
     }
   };
+  const startTick = (delayMs: number) => {
+    tickDueAtMs = clock.readMonotonicMs() + delayMs;
+    timer = clock.startTimer(delayMs, tick);
+  };
   /** Returns to the short interval, for the first generation after an idle time. */
   const endIdleTime = () => {
     if (isIdle) {
       isIdle = false;
       timer?.cancel();
-      timer = clock.startTimer(FORWARDING_LIMITS.tickMs, tick);
+      startTick(FORWARDING_LIMITS.tickMs);
     }
   };
 
--- a/packages/daemon/src/forwarding/create_generation_stream.ts
+++ b/packages/daemon/src/forwarding/create_generation_stream.ts
@@ -8,5 +8,8 @@
     closed: undefined,
     isDetached: false,
     handleClose: undefined,
+    isStopping: false,
+    stopCalls: undefined,
+    complete: undefined,
   };
 }
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -1,5 +1,3 @@
-import type { KvCacheSource } from "../adapters/deployment_dialect.ts";
-import { isPastLastCall } from "../evacuation/mod.ts";
 import { getPauseMs, isEvacuated } from "../upstreams/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import { claimPermit } from "./claim_permit.ts";
@@ -7,10 +5,14 @@
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { findBackupCopy } from "./find_backup_copy.ts";
+import type { BackupCopy } from "./find_backup_copy.ts";
+import type { FormerEngine } from "./former_engine.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun, GenerationStream } from "./generation_run.ts";
+import { isCallable } from "./is_callable.ts";
 import { resumeGeneration } from "./resume_generation.ts";
 import { sendEvent } from "./send_event.ts";
+import { stopFormerEngine } from "./stop_former_engine.ts";
 import { waitFor } from "./wait_for.ts";
 
 const LIMIT_REACHED = "the upstream has reached the limit that it names";
@@ -21,10 +23,23 @@
  */
 export type MigrationReason = "draining" | "silent" | "evacuating";
 
+/** A move of a KV cache from one upstream to another. */
+interface MoveStep {
+  readonly source: Upstream;
+  readonly target: Upstream;
+  readonly reason: MigrationReason;
+}
+
+/** A request to an upstream to resume a generation from its copy of the KV cache. */
+interface ResumeStep extends BackupCopy {
+  readonly reason: MigrationReason;
+  readonly way: "copy" | "move";
+}
+
 /**
  * Migrates a running generation away from its upstream: resumes it from the backup copy on
  * another upstream, or else copies its KV cache to a new one. It keeps running on its source until
- * the other upstream resumes it, so a failed step loses nothing. Resolves once it has resumed on
+ * the other upstream resumes it, so a refused step loses nothing. Resolves once it has resumed on
  * another upstream or no option is left.
  */
 export async function migrateGeneration(
@@ -32,7 +47,8 @@
   run: GenerationRun,
   reason: MigrationReason,
 ): Promise<void> {
-  if (run.isMigrating || run.phase !== "running" || run.inFlight?.isPrefilling !== false) {
+  const isReady = run.phase === "running" && run.inFlight?.isPrefilling === false;
+  if (run.isMigrating || run.hasReturned || !isReady) {
     return;
   }
   // An engine that sends nothing may not answer a request to copy either.
@@ -69,7 +85,7 @@
     if (isMoved || copy === undefined || !isUsable) {
       return false;
     }
-    if (await tryResume(context, run, copy.upstream, copy.source, "copy")) {
+    if (await tryResume(context, run, { ...copy, reason, way: "copy" })) {
       return true;
     }
     if (context.clock.readMonotonicMs() - startMs >= maxWaitMs) {
@@ -111,7 +127,7 @@
       continue;
     }
     tries++;
-    if (await migrateTo(context, run, source, target)) {
+    if (await migrateTo(context, run, { source, target, reason })) {
       return true;
     }
     excluded.add(target.record.id);
@@ -124,8 +140,7 @@
 async function migrateTo(
   context: ForwardingContext,
   run: GenerationRun,
-  source: Upstream,
-  target: Upstream,
+  { source, target, reason }: MoveStep,
 ): Promise<boolean> {
   const { inFlight, request, stream } = run;
   if (inFlight === undefined) {
@@ -161,7 +176,7 @@
     return false; // it has failed and runs at another engine since
   }
   const hasResumed = run.phase === "ended" ||
-    await tryResume(context, run, target, cacheSource, "move");
+    await tryResume(context, run, { upstream: target, source: cacheSource, reason, way: "move" });
   if (!hasResumed) {
     inFlight.moveUpstreamId = undefined;
   }
@@ -169,20 +184,21 @@
 }
 
 /**
- * Requests an upstream to resume the generation and buffers the source's events meanwhile. Returns
- * whether it has resumed.
+ * Requests an upstream to resume the generation and stops it at its source: once the upstream
+ * responds, or does so late. A host whose timers are late stops it first, because it could not limit
+ * the time for which both run it. Returns whether the generation has left the stream of its source;
+ * if no upstream runs it then, it is restored like one whose source has failed.
  */
 async function tryResume(
   context: ForwardingContext,
   run: GenerationRun,
-  upstream: Upstream,
-  source: KvCacheSource,
-  way: "copy" | "move",
+  options: ResumeStep,
 ): Promise<boolean> {
-  const { stream, request } = run;
+  const { stream, request, upstream: left } = run;
+  const { upstream, reason, way } = options;
   if (
-    stream === undefined || run.phase !== "running" || isPausing(context, upstream) ||
-    isEvacuated(context.upstreams, upstream.record)
+    stream === undefined || left === undefined || run.phase !== "running" ||
+    isPausing(context, upstream) || isEvacuated(context.upstreams, upstream.record)
   ) {
     return false;
   }
@@ -199,35 +215,119 @@
   if (!isStillRunning(run) || run.stream !== stream) {
     return false;
   }
+  if (!isCallable(context, left, FORWARDING_LIMITS.resumeTimeoutMs)) {
+    return false; // it could not return if the upstream does not resume it
+  }
   if (way === "copy") {
     recordStart(context, run, upstream, way);
   }
+  run.phase = "switching";
+  const stop = () =>
+    stopFormerEngine(context, run, {
+      left,
+      target: upstream,
+      waitMs: reason === "silent" ? FORWARDING_LIMITS.stopWaitMs : FORWARDING_LIMITS.stopTimeoutMs,
+      isFinal: reason === "silent",
+    });
+  let { source } = options;
+  let stopping: Promise<FormerEngine> | undefined;
+  if (context.timerDelays.isLate()) {
+    stopping = stop();
+    const former = await stopping;
+    if (former.type === "stopped") {
+      await waitForClose(context, stream);
+      source = former.copiedTo === upstream ? former.cache ?? source : source;
+    } else if (reason !== "silent" && !hasEnded(run)) {
+      recordFailure(context, run, `stop at ${left.record.id}`, former.reason);
+      resumeSource(context, run, stream);
+      return false;
+    }
+    if (hasEnded(run)) {
+      return true; // the source has completed the response in the meantime, or the caller has left
+    }
+  }
   getServiceBudget(context, request.service.name).countRetry();
   stream.bufferedEvents = [];
-  run.phase = "switching";
-  const hasResumed = await new Promise<boolean>((resolve) => {
+  const refusal = await new Promise<string | undefined>((resolve) => {
+    const timer = context.clock.startTimer(FORWARDING_LIMITS.resumeResponseMs, () => {
+      stopping ??= stop();
+    });
+    const settle = (reasonOfRefusal?: string) => {
+      timer.cancel();
+      resolve(reasonOfRefusal);
+    };
     stream.handleClose = () => {
       if (stream.closed === "end") {
-        resolve(true); // the source has completed the response in the meantime
+        settle(); // the source has completed the response in the meantime
       }
     };
     resumeGeneration(context, run, {
-      upstream,
-      source,
-      way,
+      ...{ upstream, source, way },
       timeoutMs: FORWARDING_LIMITS.resumeTimeoutMs,
-      handleStart: () => resolve(true),
-      refuse: (reason) => {
-        recordFailure(context, run, `resume at ${upstream.record.id}`, reason);
-        resolve(false);
-      },
+      handleStart: () => settle(),
+      refuse: settle,
     });
   });
   stream.handleClose = undefined;
-  if (!hasResumed) {
-    releaseBufferedEvents(context, run, stream);
+  if (refusal === undefined) {
+    return true;
   }
-  return hasResumed;
+  const former = await stopping;
+  if (hasEnded(run)) {
+    return true;
+  }
+  recordFailure(context, run, `resume at ${upstream.record.id}`, refusal);
+  if (former?.type !== "stopped") {
+    resumeSource(context, run, stream);
+    return false;
+  }
+  releaseBufferedEvents(context, run, stream);
+  if (former.cache === undefined && stream.complete !== undefined) {
+    stream.complete(); // the source had completed it before the call
+  } else {
+    run.restore(`stopped for a move; ${upstream.record.id} has not resumed it: ${refusal}`);
+  }
+  return true;
+}
+
+/** Goes on with the stream of the source, which may have failed in the meantime. */
+function resumeSource(
+  context: ForwardingContext,
+  run: GenerationRun,
+  stream: GenerationStream,
+): void {
+  run.phase = "running";
+  releaseBufferedEvents(context, run, stream);
+  if (stream.closed === "fail") {
+    run.restore("source stream failed while another upstream was requested to resume");
+  }
+}
+
+function releaseBufferedEvents(
+  context: ForwardingContext,
+  run: GenerationRun,
+  stream: GenerationStream,
+): void {
+  const buffered = stream.bufferedEvents ?? [];
+  stream.bufferedEvents = undefined;
+  buffered.forEach((event) => sendEvent(context, run, event));
+}
+
+/** Waits until the stream of an engine that has stopped the generation has brought its last event. */
+async function waitForClose(context: ForwardingContext, stream: GenerationStream): Promise<void> {
+  const closed = new Promise<void>((resolve) => {
+    stream.handleClose = resolve;
+    if (stream.closed !== undefined) {
+      resolve();
+    }
+  });
+  await Promise.race([closed, waitFor(context.clock, FORWARDING_LIMITS.lastEventsMs)]);
+  stream.handleClose = undefined;
+}
+
+/** Whether the run has ended, during a wait. */
+function hasEnded(run: GenerationRun): boolean {
+  return run.phase === "ended";
 }
 
 /** Whether the run is still on its source, after a wait in which it may have ended or failed. */
@@ -239,34 +339,11 @@
   return getPauseMs(context.upstreams, record, context.clock.readMonotonicMs()) > 0;
 }
 
-/** Whether an upstream may be called to copy: in an evacuated data centre only for some time. */
-function isCallable(context: ForwardingContext, upstream: Upstream | undefined): boolean {
-  const learntAtMs = context.upstreams.evacuated.get(upstream?.record.dataCentre ?? "");
-  return !isPastLastCall(learntAtMs, context.clock.readMonotonicMs());
-}
-
 /** Whether generations still have to leave an upstream of which an evacuation has been noticed. */
 function hasToLeave({ upstreams }: ForwardingContext, { record }: Upstream): boolean {
   return isEvacuated(upstreams, record) || upstreams.upstreams.get(record.id)?.status === "leaving";
 }
 
-function releaseBufferedEvents(
-  context: ForwardingContext,
-  run: GenerationRun,
-  stream: GenerationStream,
-): void {
-  if (run.phase === "ended") {
-    return;
-  }
-  const buffered = stream.bufferedEvents ?? [];
-  stream.bufferedEvents = undefined;
-  run.phase = "running";
-  buffered.forEach((event) => sendEvent(context, run, event));
-  if (stream.closed === "fail") {
-    run.restore("source stream failed while another upstream was requested to resume");
-  }
-}
-
 function recordStart(
   context: ForwardingContext,
   run: GenerationRun,
--- a/packages/daemon/src/forwarding/open_generation_exchange.ts
+++ b/packages/daemon/src/forwarding/open_generation_exchange.ts
@@ -30,6 +30,8 @@
   readonly backupTarget: Upstream | undefined;
   readonly resumeFrom?: KvCacheSource;
   readonly lastEventId: number | undefined;
+  /** The upstream has stopped the generation for a move that failed. */
+  readonly isReturn?: boolean;
 }
 
 /** Sends a request to start or resume a generation to an upstream. */
@@ -52,6 +54,7 @@
   const exchange = context.openExchange({
     address: upstream.record.address,
     upstreamId: upstream.record.id,
+    isReturn: options.isReturn === true,
     method: request.method,
     target: request.target,
     headers: dialect.encodeRequest(request.rawHeaders, {
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -6,13 +6,13 @@
 import { createGenerationStream } from "./create_generation_stream.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
+import { dropKeptCache } from "./drop_kept_cache.ts";
 import type { GenerationRun } from "./generation_run.ts";
 import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordReachability } from "./record_reachability.ts";
 import { openGenerationExchange } from "./open_generation_exchange.ts";
 import { relayEvents } from "./relay_events.ts";
-import { stopEngine } from "./stop_engine.ts";
-import { stopQuietEngine } from "./stop_quiet_engine.ts";
+import { stopFormerEngine } from "./stop_former_engine.ts";
 
 /** Options of {@link resumeGeneration}. */
 export interface ResumeOptions {
@@ -33,7 +33,8 @@
 
 /**
  * Requests an upstream that has a generation's KV cache to resume it after the last event sent to
- * the caller. The former stream is closed when the new one starts.
+ * the caller. When the new stream starts, the former one is closed, and its engine told to stop
+ * unless it has confirmed that before.
  */
 export function resumeGeneration(
   context: ForwardingContext,
@@ -71,29 +72,48 @@
   const stream = createGenerationStream();
   run.resumingStream = stream;
   run.resumingAt = upstream;
+  /** Tells the upstream to stop: it may have begun, and its response may have been lost. */
+  const giveUp = async (reason: string) => {
+    run.resumingAt = undefined;
+    const left = await stopFormerEngine(context, run, {
+      left: upstream,
+      target: run.upstream ?? upstream,
+      waitMs: FORWARDING_LIMITS.stopWaitMs,
+      isFinal: true,
+    });
+    dropKeptCache(context, run, left.type === "stopped" ? left.cache : undefined);
+    options.refuse(reason, false);
+  };
   const timer = context.clock.startTimer(options.timeoutMs, () => {
-    // Another engine may run it next, so this one has to stop at once.
     stream.exchange?.abort(request.route.isResumable);
-    run.resumingAt = undefined;
-    giveUpSilent().catch(run.reportFault);
+    giveUp("no response within the resume timeout").catch(run.reportFault);
   });
-  /** Its response may have been lost on a connection that has fallen silent. */
-  const giveUpSilent = async () => {
-    const timeoutMs = FORWARDING_LIMITS.closeNoticeMs;
-    if (run.upstream !== undefined) {
-      await stopEngine(context, { run, left: upstream, current: run.upstream, timeoutMs });
-    }
-    options.refuse("no response within the resume timeout", false);
-  };
   const relay = relayEvents(context, run, stream, (failure) => {
     timer.cancel();
-    run.resumingAt = undefined;
     recordReachability(context, upstream.record.id, failure.outcome);
     if (failure.isConnectionLost) {
       recordGenerationLoss(context, run, upstream, { hasHead: false, firstEventAtMs: undefined });
     }
+    if (failure.outcome === "broken") {
+      giveUp(failure.reason).catch(run.reportFault);
+      return;
+    }
+    run.resumingAt = undefined;
     options.refuse(failure.reason, hasNotExecuted(failure.outcome));
   });
+  /** The close of its stream may not reach the former engine. */
+  const confirmStop = async (left: Upstream) => {
+    const former = await stopFormerEngine(context, run, {
+      left,
+      target: upstream,
+      waitMs: FORWARDING_LIMITS.stopWaitMs,
+      isFinal: true,
+    });
+    if (former !== stoppedBefore) {
+      dropKeptCache(context, run, former.type === "stopped" ? former.cache : undefined);
+    }
+  };
+  const stoppedBefore = run.stopped;
   const startMs = context.clock.readMonotonicMs();
   stream.exchange = openGenerationExchange(context, {
     request,
@@ -101,6 +121,7 @@
     backupTarget,
     resumeFrom: options.source,
     lastEventId: run.lastEventId,
+    isReturn: run.stopped?.upstream.record.id === upstream.record.id,
   }, {
     ...relay,
     start: (status, statusText, rawHeaders) => {
@@ -120,14 +141,14 @@
       }
       if (run.upstream !== undefined) {
         run.tried.add(run.upstream.record.id);
-        if (formerStream?.closed === undefined) {
-          stopQuietEngine(context, run, upstream).catch(run.reportFault);
-        }
+        confirmStop(run.upstream).catch(run.reportFault);
       }
       run.phase = "running";
       run.stream = stream;
       run.resumingStream = undefined;
       run.resumingAt = undefined;
+      run.stopped = undefined;
+      run.hasReturned = run.upstream?.record.id === upstream.record.id;
       run.upstream = upstream;
       run.inFlight = inFlight;
       // No event has arrived on this stream; the gap to its first event is measured from here.
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -15,6 +15,7 @@
 import { createGenerationStream } from "./create_generation_stream.ts";
 import { decideStreamRecovery } from "./decide_stream_recovery.ts";
 import { endInterrupted } from "./end_interrupted.ts";
+import { dropKeptCache } from "./drop_kept_cache.ts";
 import type { WaitQueue } from "./create_wait_queue.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
@@ -29,7 +30,7 @@
 import type { RefusalCode } from "./refusal_details.ts";
 import { restoreGeneration } from "./restore_generation.ts";
 import { relayEvents } from "./relay_events.ts";
-import { stopQuietEngine } from "./stop_quiet_engine.ts";
+import { stopFormerEngine } from "./stop_former_engine.ts";
 
 /** Options of {@link runGeneration}. */
 export interface GenerationOptions {
@@ -56,6 +57,9 @@
   broken: "lostResponse",
 } as const satisfies Record<StartFailure["outcome"], RerunCause>;
 
+/** Causes after which the former engine certainly does not run the request. */
+const ENDED_CAUSES: ReadonlySet<RerunCause> = new Set(["notSent", "refused", "failedResponse"]);
+
 /** Lost engines after which a request may be quarantined. */
 const MIN_LOSSES_OF_QUARANTINE = 2;
 
@@ -82,6 +86,7 @@
     stream: undefined,
     resumingStream: undefined,
     resumingAt: undefined,
+    stopped: undefined,
     reportFault: options.reportFault,
     inFlight: undefined,
     tried,
@@ -100,6 +105,7 @@
     longestGapMs: 0,
     lastEventAtMs: context.clock.readMonotonicMs(),
     silenceCheckAtMs: 0,
+    hasReturned: false,
     isMigrating: false,
     restore: (reason, cause = "brokenStream") => {
       if (run.phase === "ended") {
@@ -216,7 +222,7 @@
     run.finish(outcome);
   };
 
-  /** Stops the former run and places the generation on another engine, after its last event. */
+  /** Stops the former run, then places the generation on another engine after its last event. */
   const startAgain = (reason: string, cause: RerunCause) => {
     queueEntries++; // an entry of the wait before the former run would expire too early
     const upstreamId = run.upstream?.record.id ?? "none";
@@ -233,18 +239,30 @@
     recordRerunEnd("runAgain");
     rerun = { cause, reason, former: upstreamId };
     run.phase = "switching";
-    const { lossRecorded, executedAttempts } = run;
-    if (lossRecorded === undefined || executedAttempts < MIN_LOSSES_OF_QUARANTINE) {
-      startOrQueue();
-      return;
-    }
-    // The quarantine may hold the request back now; each further run could cost an engine.
-    lossRecorded.then(() => {
+    prepareRerun(cause).then(() => {
       if (run.phase === "switching") {
         startOrQueue();
       }
     }).catch(options.reportFault);
   };
+  /** Waits for what has to be known of the former run before there may be another one. */
+  const prepareRerun = async (cause: RerunCause) => {
+    const { lossRecorded, executedAttempts, upstream } = run;
+    if (upstream !== undefined && !ENDED_CAUSES.has(cause)) {
+      const nowMs = context.clock.readMonotonicMs();
+      const former = await stopFormerEngine(context, run, {
+        left: upstream,
+        target: listLeft(nowMs)[0] ?? upstream,
+        waitMs: FORWARDING_LIMITS.stopWaitMs,
+        isFinal: true,
+      });
+      dropKeptCache(context, run, former.type === "stopped" ? former.cache : undefined);
+    }
+    // The quarantine may hold the request back now; each further run could cost an engine.
+    if (executedAttempts >= MIN_LOSSES_OF_QUARANTINE) {
+      await lossRecorded;
+    }
+  };
   const recordRerunEnd = (end: string) => {
     if (rerun !== undefined) {
       context.metrics.increment("forwarding.reruns", 1, { cause: rerun.cause, end });
@@ -274,10 +292,9 @@
       budget.countRetry();
     }
     isRetryCounted = false;
-    if (rerun?.cause === "draining") {
-      stopQuietEngine(context, run, upstream).catch(options.reportFault);
-    }
     run.phase = "running";
+    run.stopped = undefined;
+    run.hasReturned = false;
     run.upstream = upstream;
     run.inFlight = inFlight;
     run.lastEventAtMs = nowMs;
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -110,9 +110,16 @@
   engineStopped: {
     number: 8024,
     level: "info",
-    title: "Engine that may have fallen silent was told to stop a generation that left it",
+    title: "Engine that did not respond in time has confirmed that it runs a generation no more",
     action:
-      "none if `end` is absent; stopped means that its connection had fallen silent: check the network",
+      "none if `end` is absent; stopped means that two engines ran it until now: check the network",
+  },
+  formerEngineLeft: {
+    number: 8025,
+    level: "info",
+    title: "Engine was told to stop a generation that goes on elsewhere, with its response",
+    action:
+      "none if `end` is stopped; unreachable means that it may run on until it responds (engineStopped)",
   },
   settingsInForce: {
     number: 8030,
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -159,6 +159,12 @@
     meaning:
       "Migrations of running generations, by tag `end`: copied, fromCopy, failed, and tag `reason`: draining, silent, evacuating",
   },
+  "forwarding.stops": {
+    type: "counter",
+    unit: "calls",
+    meaning:
+      "Engines told to stop a generation that goes on elsewhere, by tag `end`: stopped, unreachable, resting, evacuated",
+  },
   "upstreams.known": {
     type: "gauge",
     unit: "upstreams",
