Take the proof of a stop for the stream that it is of only

It belongs to one stream now, and is dropped as the generation is sent back. A stream that its engine had completed just before the call is also ended as complete when it is restored.

--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -56,7 +56,7 @@
   resumingStream: GenerationStream | undefined;
   /** That engine, until it responds or is given up. */
   resumingAt: Upstream | undefined;
-  /** The engine that has confirmed that it stopped the generation; undefined while one runs it. */
+  /** The engine of `stream` if it has confirmed that it runs the generation no more. */
   stopped: StoppedGeneration | undefined;
   inFlight: InFlightRequest | undefined;
   /** Ids of the engines that it was sent to; a run again prefers others. */
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -224,7 +224,7 @@
   run.phase = "switching";
   const stop = () =>
     stopFormerEngine(context, run, {
-      left,
+      ...{ left, stream },
       target: upstream,
       waitMs: reason === "silent" ? FORWARDING_LIMITS.stopWaitMs : FORWARDING_LIMITS.stopTimeoutMs,
       isFinal: reason === "silent",
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -79,6 +79,7 @@
     const left = run.upstream;
     const former = left === undefined ? undefined : await stopFormerEngine(context, run, {
       left,
+      stream: run.stream,
       target: copy.upstream,
       waitMs: FORWARDING_LIMITS.stopWaitMs,
       restingWaitMs: FORWARDING_LIMITS.restoreTimeoutMs - computeElapsedMs(),
@@ -87,6 +88,12 @@
     if (run.phase !== "switching") {
       return;
     }
+    if (former?.type === "stopped" && former.cache === undefined) {
+      run.stream?.complete?.(); // its engine had completed it before the call
+    }
+    if (hasEnded(run)) {
+      return;
+    }
     if (former?.type === "resting" || former?.type === "evacuated") {
       giveUpCopy(`${reason}; its engine may run on and cannot be told to stop: ${former.reason}`);
       return;
@@ -164,3 +171,8 @@
   };
   tryRestore();
 }
+
+/** Whether the run has ended, during a wait. */
+function hasEnded(run: GenerationRun): boolean {
+  return run.phase === "ended";
+}
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -69,6 +69,11 @@
     : undefined;
   inFlight.copyUpstreamId = backupTarget?.record.id;
   const formerStream = run.stream;
+  const stoppedBefore = run.stopped;
+  const isReturn = stoppedBefore?.upstream.record.id === upstream.record.id;
+  if (isReturn) {
+    run.stopped = undefined; // from now on it may run there again
+  }
   const stream = createGenerationStream();
   run.resumingStream = stream;
   run.resumingAt = upstream;
@@ -77,6 +82,7 @@
     run.resumingAt = undefined;
     const left = await stopFormerEngine(context, run, {
       left: upstream,
+      stream,
       target: run.upstream ?? upstream,
       waitMs: FORWARDING_LIMITS.stopWaitMs,
       isFinal: true,
@@ -105,6 +111,7 @@
   const confirmStop = async (left: Upstream) => {
     const former = await stopFormerEngine(context, run, {
       left,
+      stream: formerStream,
       target: upstream,
       waitMs: FORWARDING_LIMITS.stopWaitMs,
       isFinal: true,
@@ -113,7 +120,6 @@
       dropKeptCache(context, run, former.type === "stopped" ? former.cache : undefined);
     }
   };
-  const stoppedBefore = run.stopped;
   const startMs = context.clock.readMonotonicMs();
   stream.exchange = openGenerationExchange(context, {
     request,
@@ -121,7 +127,7 @@
     backupTarget,
     resumeFrom: options.source,
     lastEventId: run.lastEventId,
-    isReturn: run.stopped?.upstream.record.id === upstream.record.id,
+    isReturn,
   }, {
     ...relay,
     start: (status, statusText, rawHeaders) => {
@@ -141,14 +147,16 @@
       }
       if (run.upstream !== undefined) {
         run.tried.add(run.upstream.record.id);
-        confirmStop(run.upstream).catch(run.reportFault);
+        if (!isReturn) {
+          confirmStop(run.upstream).catch(run.reportFault);
+        }
       }
       run.phase = "running";
       run.stream = stream;
       run.resumingStream = undefined;
       run.resumingAt = undefined;
       run.stopped = undefined;
-      run.hasReturned = run.upstream?.record.id === upstream.record.id;
+      run.hasReturned = isReturn;
       run.upstream = upstream;
       run.inFlight = inFlight;
       // No event has arrived on this stream; the gap to its first event is measured from here.
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -252,6 +252,7 @@
       const nowMs = context.clock.readMonotonicMs();
       const former = await stopFormerEngine(context, run, {
         left: upstream,
+        stream: run.stream,
         target: listLeft(nowMs)[0] ?? upstream,
         waitMs: FORWARDING_LIMITS.stopWaitMs,
         isFinal: true,
--- a/packages/daemon/src/forwarding/stop_former_engine.ts
+++ b/packages/daemon/src/forwarding/stop_former_engine.ts
@@ -4,7 +4,7 @@
 import { FORWARDING_LIMITS } from "./constants.ts";
 import type { FormerEngine, StopCalls, StoppedGeneration } from "./former_engine.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
-import type { GenerationRun } from "./generation_run.ts";
+import type { GenerationRun, GenerationStream } from "./generation_run.ts";
 import { dropKeptCache } from "./drop_kept_cache.ts";
 import { isCallable } from "./is_callable.ts";
 import { waitFor } from "./wait_for.ts";
@@ -13,6 +13,8 @@
 export interface StopOptions {
   /** The engine that may run the generation. */
   readonly left: Upstream;
+  /** Its response stream. */
+  readonly stream: GenerationStream | undefined;
   /** The engine that is to run it next, and receives the rest of its KV cache. */
   readonly target: Upstream;
   /** Time to wait for the engine's response. */
@@ -35,14 +37,13 @@
   run: GenerationRun,
   options: StopOptions,
 ): Promise<FormerEngine> {
-  const { left, waitMs, restingWaitMs = 0, isFinal } = options;
-  if (run.stopped?.upstream === left) {
+  const { left, stream, waitMs, restingWaitMs = 0, isFinal } = options;
+  if (run.stopped !== undefined && stream === run.stream) {
     return run.stopped;
   }
   if (run.request.service.engine?.canMove !== true) {
     return { type: "notStoppable", reason: "the service has no call to stop a generation" };
   }
-  const stream = run.upstream === left ? run.stream : undefined;
   if (stream?.stopCalls !== undefined) {
     return stream.stopCalls.latest; // they go on
   }
@@ -66,7 +67,7 @@
   }
   calls.isAwaited = false;
   const former = calls.latest;
-  if (former.type === "stopped" && run.upstream === left) {
+  if (former.type === "stopped" && stream === run.stream) {
     run.stopped = former;
   }
   context.metrics.increment("forwarding.stops", 1, { end: former.type });
@@ -92,15 +93,15 @@
   run: GenerationRun,
   options: CallOptions,
 ): Promise<void> {
-  const { left, isFinal, calls, settle } = options;
+  const { left, stream, isFinal, calls, settle } = options;
   const { upstreams, clock } = context;
-  const formerStream = run.stream;
   const isOver = () => {
     const known = upstreams.upstreams.get(left.record.id);
     const isGone = known === undefined || known.status === "gone" ||
       !isSameIncarnation(known.record, left.record);
     const hasReturned = run.resumingAt?.record.id === left.record.id ||
-      (run.upstream?.record.id === left.record.id && run.stream !== formerStream);
+      (run.phase === "running" && run.upstream?.record.id === left.record.id &&
+        run.stream !== stream);
     return isGone || hasReturned || clock.readMonotonicMs() >= run.request.deadlineAtMs ||
       !(isFinal || calls.isAwaited);
   };
