Tell the former engine only when another one runs its generation, or its stream has failed

The design is simpler now. A running generation is never stopped for a move: another engine gets 250 ms to respond; when it does, the former one is closed and told, and one that does not is told to stop itself, after which the generation stays where it is. The former engine is told first only if its stream has failed or is given up. An engine that must not be called is probed by a connection: one that has ended holds nothing up. A response that is no confirmation shows that the engine lives, and is not taken for a lost connection. A host whose timers are late moves no generation; it is restored from its backup copy when its engine ends. The way back to the source is gone.

--- a/packages/daemon/src/adapters/kv_cache_client.ts
+++ b/packages/daemon/src/adapters/kv_cache_client.ts
@@ -25,13 +25,13 @@
 
 /**
  * Outcome of a stop: `stopped`, with the handle of the KV cache that the source keeps, and whether
- * the target has received all of it; `absent` when the engine runs no such
- * generation; `failed` when it sent no usable response, so that it may run on.
+ * the target has received all of it; `absent` when the engine runs no such generation; `refused`
+ * when it responds otherwise, so that it runs on; `failed` when it sent no response.
  */
 export type GenerationStopResult =
   | { readonly type: "stopped"; readonly handle: string; readonly isCopied: boolean }
   | { readonly type: "absent" }
-  | { readonly type: "failed"; readonly reason: string };
+  | { readonly type: "refused" | "failed"; readonly reason: string };
 
 /** Calls to engines about the KV cache of generations. */
 export interface KvCacheClient {
--- a/packages/daemon/src/adapters/upstream_exchange.ts
+++ b/packages/daemon/src/adapters/upstream_exchange.ts
@@ -4,8 +4,6 @@
   readonly address: string;
   /** Id of the upstream that the request is for; several may have had the address. */
   readonly upstreamId?: string;
-  /** It returns a generation to the upstream that has stopped it for a move. */
-  readonly isReturn?: boolean;
   readonly method: string;
   /** Path and query, unchanged from the caller's request. */
   readonly target: string;
--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -36,12 +36,10 @@
   /** Maximum random jitter added to the end of a pause that all upstreams of a service ask for. */
   pauseRetrySpreadMs: 500,
   /**
-   * Time after a request to resume a generation at which its former engine is told to stop even
-   * without a response: two engines may run it for 400 ms. Refusals arrive before.
+   * Timeout for an upstream to resume a generation that runs on at its source meanwhile: both may run
+   * it for 400 ms.
    */
-  resumeResponseMs: 150,
-  /** Time for the last events of a generation to arrive after its engine has stopped it. */
-  lastEventsMs: 100,
+  moveResponseMs: 250,
   /**
    * Time for which a generation waits for its former engine to confirm that it has stopped, before
    * it goes on elsewhere because that engine cannot be reached.
@@ -52,8 +50,12 @@
   /** Delay before the second such call; it doubles with each further one. */
   stopRetryMs: 50,
   maxStopRetryMs: 1_000,
-  /** Time after a drain notice for which a generation may return to the engine that stopped it. */
-  maxReturnMs: 1_500,
+  /** Further calls to an engine that knows of no such generation, which it may start late. */
+  maxLateStopCalls: 4,
+  /** Time for which a probed connection must last, as a reset arrives within a round trip. */
+  probeHoldMs: 20,
+  /** Time for which a generation waits for an engine that cannot be told to stop for now. */
+  untoldWaitMs: 2_000,
   /** Timeout for copying a KV cache while the generation keeps running. */
   cacheCopyTimeoutMs: 5_000,
   /** Delay before a retry of an incomplete backup copy; it is updated several times a second. */
--- a/packages/daemon/src/forwarding/create_evacuation_mover.ts
+++ b/packages/daemon/src/forwarding/create_evacuation_mover.ts
@@ -43,8 +43,8 @@
       upstream?.record.dataCentre === dataCentre
     );
     // The moves off a draining engine are not spread: it ends within two seconds.
-    const runs = affected.filter(({ phase, upstream, inFlight, isMigrating, hasReturned }) =>
-      !hasReturned && upstreams.upstreams.get(upstream?.record.id ?? "")?.status !== "leaving" &&
+    const runs = affected.filter(({ phase, upstream, inFlight, isMigrating, hasLateTarget }) =>
+      !hasLateTarget && upstreams.upstreams.get(upstream?.record.id ?? "")?.status !== "leaving" &&
       (isMigrating || (phase === "running" && inFlight?.isPrefilling === false))
     );
     const chosen = new Set(decideEvacuationMoves({
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -101,7 +101,7 @@
       run.inFlight === undefined ? 0 : estimateRemainingTokens(run.inFlight);
     const waiting = affected
       .filter((run) =>
-        run.phase === "running" && !run.isMigrating && !run.hasReturned &&
+        run.phase === "running" && !run.isMigrating && !run.hasLateTarget &&
         run.inFlight?.isPrefilling === false
       )
       .sort((left, right) => estimateRemaining(right) - estimateRemaining(left));
--- a/packages/daemon/src/forwarding/create_generation_stream.ts
+++ b/packages/daemon/src/forwarding/create_generation_stream.ts
@@ -8,8 +8,6 @@
     closed: undefined,
     isDetached: false,
     handleClose: undefined,
-    isStopping: false,
     stopCalls: undefined,
-    complete: undefined,
   };
 }
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics, RandomSource } from "@crocussail/protocol";
 import type { DeploymentDialect } from "../adapters/deployment_dialect.ts";
 import type { KvCacheClient } from "../adapters/kv_cache_client.ts";
+import type { ProbeConnection } from "../adapters/probe_connection.ts";
 import type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
 import type { TimerDelays } from "./create_timer_delays.ts";
 import type { BrittleUpstreams } from "../brittle_upstreams/mod.ts";
@@ -21,6 +22,7 @@
   readonly dialect: DeploymentDialect;
   readonly openExchange: OpenUpstreamExchange;
   readonly kvCache: KvCacheClient;
+  readonly probeConnection: ProbeConnection;
   readonly timerDelays: TimerDelays;
   readonly upstreams: UpstreamState;
   readonly loads: LoadState;
--- a/packages/daemon/src/forwarding/generation_run.ts
+++ b/packages/daemon/src/forwarding/generation_run.ts
@@ -3,11 +3,11 @@
 import type { Upstream } from "../upstreams/mod.ts";
 import type { FailedStream, StreamRecovery } from "./decide_stream_recovery.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
-import type { StopCalls, StoppedGeneration } from "./former_engine.ts";
+import type { StopCalls } from "./former_engine.ts";
 
 /**
- * `waiting` for room; `handedOver` to another host; `running` on an upstream; `switching` while its
- * engine is told to stop and another one is requested to resume it; `ended` after the final response.
+ * `waiting` for room; `handedOver` to another host; `running` on an upstream; `switching` while
+ * another upstream is requested to resume it; `ended` after the final response.
  */
 export type GenerationPhase = "waiting" | "handedOver" | "running" | "switching" | "ended";
 
@@ -22,15 +22,8 @@
   isDetached: boolean;
   /** Called once the stream closes. */
   handleClose: (() => void) | undefined;
-  /**
-   * Its engine has been told to stop the generation, so a close of its connection is no failure of
-   * the engine, and does not show that the response is complete.
-   */
-  isStopping: boolean;
-  /** What the calls to stop it at its engine have shown; undefined unless it is left in any case. */
+  /** What the calls to stop it at its engine have shown; undefined before the first. */
   stopCalls: StopCalls | undefined;
-  /** Ends the response as complete if its connection ended while the engine was told to stop. */
-  complete: (() => void) | undefined;
 }
 
 /** Why a generation is run again. */
@@ -56,8 +49,6 @@
   resumingStream: GenerationStream | undefined;
   /** That engine, until it responds or is given up. */
   resumingAt: Upstream | undefined;
-  /** The engine of `stream` if it has confirmed that it runs the generation no more. */
-  stopped: StoppedGeneration | undefined;
   inFlight: InFlightRequest | undefined;
   /** Ids of the engines that it was sent to; a run again prefers others. */
   readonly tried: Set<string>;
@@ -84,10 +75,10 @@
   /** Monotonic time before which another engine is not requested because this one is silent. */
   silenceCheckAtMs: number;
   /**
-   * It has gone on at its engine after a migration stopped it there in vain; it migrates no more, as
-   * each further attempt would be another pause for its caller.
+   * An upstream that was to take it over may have begun and was given up; it stays on its engine, as
+   * each further one could add to the time for which two engines run it.
    */
-  hasReturned: boolean;
+  hasLateTarget: boolean;
   /** A migration is in progress. */
   isMigrating: boolean;
   /** Continues it at another engine after its stream failed, or ends it with an error. */
--- a/packages/daemon/src/forwarding/is_callable.ts
+++ b/packages/daemon/src/forwarding/is_callable.ts
@@ -2,15 +2,11 @@
 import type { Upstream } from "../upstreams/mod.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 
-/**
- * Whether an upstream may be called about a KV cache, in `afterMs` as well: in an evacuated data
- * centre only for some time.
- */
+/** Whether an upstream may be called about a KV cache: in an evacuated data centre only for some time. */
 export function isCallable(
   context: Pick<ForwardingContext, "upstreams" | "clock">,
   upstream: Upstream | undefined,
-  afterMs = 0,
 ): boolean {
   const learntAtMs = context.upstreams.evacuated.get(upstream?.record.dataCentre ?? "");
-  return !isPastLastCall(learntAtMs, context.clock.readMonotonicMs() + afterMs);
+  return !isPastLastCall(learntAtMs, context.clock.readMonotonicMs());
 }
--- a/packages/daemon/src/forwarding/migrate_generation.ts
+++ b/packages/daemon/src/forwarding/migrate_generation.ts
@@ -6,15 +6,18 @@
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { findBackupCopy } from "./find_backup_copy.ts";
 import type { BackupCopy } from "./find_backup_copy.ts";
-import type { FormerEngine } from "./former_engine.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun, GenerationStream } from "./generation_run.ts";
 import { isCallable } from "./is_callable.ts";
 import { resumeGeneration } from "./resume_generation.ts";
 import { sendEvent } from "./send_event.ts";
-import { stopFormerEngine } from "./stop_former_engine.ts";
 import { waitFor } from "./wait_for.ts";
 
+const MOVE_PERMIT_TIMES = {
+  waitMs: FORWARDING_LIMITS.movePermitTimeoutMs,
+  patientMs: FORWARDING_LIMITS.movePermitTimeoutMs,
+};
+
 const LIMIT_REACHED = "the upstream has reached the limit that it names";
 
 /**
@@ -23,23 +26,15 @@
  */
 export type MigrationReason = "draining" | "silent" | "evacuating";
 
-/** A move of a KV cache from one upstream to another. */
-interface MoveStep {
-  readonly source: Upstream;
-  readonly target: Upstream;
-  readonly reason: MigrationReason;
-}
-
 /** A request to an upstream to resume a generation from its copy of the KV cache. */
 interface ResumeStep extends BackupCopy {
-  readonly reason: MigrationReason;
   readonly way: "copy" | "move";
 }
 
 /**
  * Migrates a running generation away from its upstream: resumes it from the backup copy on
  * another upstream, or else copies its KV cache to a new one. It keeps running on its source until
- * the other upstream resumes it, so a refused step loses nothing. Resolves once it has resumed on
+ * the other upstream resumes it, so a failed step loses nothing. Resolves once it has resumed on
  * another upstream or no option is left.
  */
 export async function migrateGeneration(
@@ -48,7 +43,7 @@
   reason: MigrationReason,
 ): Promise<void> {
   const isReady = run.phase === "running" && run.inFlight?.isPrefilling === false;
-  if (run.isMigrating || run.hasReturned || !isReady) {
+  if (run.isMigrating || run.hasLateTarget || !isReady) {
     return;
   }
   // An engine that sends nothing may not answer a request to copy either.
@@ -81,11 +76,11 @@
     const copy = findBackupCopy(context, run);
     // A silent stream has no better place, as after its connection is lost; a draining one has.
     const isUsable = reason === "silent" || copy?.upstream.status === "ready";
-    const isMoved = run.phase !== "running" || run.stream !== stream;
+    const isMoved = run.phase !== "running" || run.stream !== stream || run.hasLateTarget;
     if (isMoved || copy === undefined || !isUsable) {
       return false;
     }
-    if (await tryResume(context, run, { ...copy, reason, way: "copy" })) {
+    if (await tryResume(context, run, { ...copy, way: "copy" })) {
       return true;
     }
     if (context.clock.readMonotonicMs() - startMs >= maxWaitMs) {
@@ -107,7 +102,7 @@
     if (run.phase !== "running" || source === undefined || run.inFlight === undefined) {
       return run.phase === "ended";
     }
-    if (!isCallable(context, source) || run.stream !== stream) {
+    if (!isCallable(context, source) || run.stream !== stream || run.hasLateTarget) {
       return false; // too late to copy, or it has failed and runs at another engine since
     }
     if (reason === "evacuating" && !hasToLeave(context, source)) {
@@ -127,7 +122,7 @@
       continue;
     }
     tries++;
-    if (await migrateTo(context, run, { source, target, reason })) {
+    if (await migrateTo(context, run, source, target)) {
       return true;
     }
     excluded.add(target.record.id);
@@ -140,7 +135,8 @@
 async function migrateTo(
   context: ForwardingContext,
   run: GenerationRun,
-  { source, target, reason }: MoveStep,
+  source: Upstream,
+  target: Upstream,
 ): Promise<boolean> {
   const { inFlight, request, stream } = run;
   if (inFlight === undefined) {
@@ -176,7 +172,7 @@
     return false; // it has failed and runs at another engine since
   }
   const hasResumed = run.phase === "ended" ||
-    await tryResume(context, run, { upstream: target, source: cacheSource, reason, way: "move" });
+    await tryResume(context, run, { upstream: target, source: cacheSource, way: "move" });
   if (!hasResumed) {
     inFlight.moveUpstreamId = undefined;
   }
@@ -184,150 +180,65 @@
 }
 
 /**
- * Requests an upstream to resume the generation and stops it at its source: once the upstream
- * responds, or does so late. A host whose timers are late stops it first, because it could not limit
- * the time for which both run it. Returns whether the generation has left the stream of its source;
- * if no upstream runs it then, it is restored like one whose source has failed.
+ * Requests an upstream to resume the generation and buffers the source's events meanwhile. Returns
+ * whether it has resumed. The source is told to stop when the upstream responds; one that does so
+ * late is given up, as the time for which both may run it is short.
  */
 async function tryResume(
   context: ForwardingContext,
   run: GenerationRun,
-  options: ResumeStep,
+  { upstream, source, way }: ResumeStep,
 ): Promise<boolean> {
   const { stream, request, upstream: left } = run;
-  const { upstream, reason, way } = options;
   if (
     stream === undefined || left === undefined || run.phase !== "running" ||
     isPausing(context, upstream) || isEvacuated(context.upstreams, upstream.record)
   ) {
     return false;
   }
-  const permit = await claimPermit(context, {
-    upstream,
-    priority: FORWARDING_LIMITS.resumePriority,
-    waitMs: FORWARDING_LIMITS.movePermitTimeoutMs,
-    patientMs: FORWARDING_LIMITS.movePermitTimeoutMs,
-  });
-  if (permit.type === "refused") {
-    recordFailure(context, run, `resume at ${upstream.record.id}`, LIMIT_REACHED);
+  const refuse = (reason: string) => {
+    recordFailure(context, run, `resume at ${upstream.record.id}`, reason);
     return false;
+  };
+  if (context.timerDelays.isLate()) {
+    return refuse("the timers of this host are late, so that it could not limit the overlap");
+  }
+  const claim = { priority: FORWARDING_LIMITS.resumePriority, ...MOVE_PERMIT_TIMES };
+  const permit = await claimPermit(context, { upstream, ...claim });
+  if (permit.type === "refused") {
+    return refuse(LIMIT_REACHED);
+  }
+  const stopPermit = await claimPermit(context, { upstream: left, ...claim });
+  if (stopPermit.type === "refused" || isPausing(context, left)) {
+    return refuse("its source cannot be told to stop for now");
   }
   if (!isStillRunning(run) || run.stream !== stream) {
     return false;
   }
-  if (!isCallable(context, left, FORWARDING_LIMITS.resumeTimeoutMs)) {
-    return false; // it could not return if the upstream does not resume it
-  }
   if (way === "copy") {
     recordStart(context, run, upstream, way);
   }
-  run.phase = "switching";
-  const stop = () =>
-    stopFormerEngine(context, run, {
-      ...{ left, stream },
-      target: upstream,
-      waitMs: reason === "silent" ? FORWARDING_LIMITS.stopWaitMs : FORWARDING_LIMITS.stopTimeoutMs,
-      isFinal: reason === "silent",
-    });
-  let { source } = options;
-  let stopping: Promise<FormerEngine> | undefined;
-  if (context.timerDelays.isLate()) {
-    stopping = stop();
-    const former = await stopping;
-    if (former.type === "stopped") {
-      await waitForClose(context, stream);
-      source = former.copiedTo === upstream ? former.cache ?? source : source;
-    } else if (reason !== "silent" && !hasEnded(run)) {
-      recordFailure(context, run, `stop at ${left.record.id}`, former.reason);
-      resumeSource(context, run, stream);
-      return false;
-    }
-    if (hasEnded(run)) {
-      return true; // the source has completed the response in the meantime, or the caller has left
-    }
-  }
   getServiceBudget(context, request.service.name).countRetry();
   stream.bufferedEvents = [];
-  const refusal = await new Promise<string | undefined>((resolve) => {
-    const timer = context.clock.startTimer(FORWARDING_LIMITS.resumeResponseMs, () => {
-      stopping ??= stop();
-    });
-    const settle = (reasonOfRefusal?: string) => {
-      timer.cancel();
-      resolve(reasonOfRefusal);
-    };
+  run.phase = "switching";
+  const hasResumed = await new Promise<boolean>((resolve) => {
     stream.handleClose = () => {
       if (stream.closed === "end") {
-        settle(); // the source has completed the response in the meantime
+        resolve(true); // the source has completed the response in the meantime
       }
     };
     resumeGeneration(context, run, {
       ...{ upstream, source, way },
-      timeoutMs: FORWARDING_LIMITS.resumeTimeoutMs,
-      handleStart: () => settle(),
-      refuse: settle,
+      timeoutMs: FORWARDING_LIMITS.moveResponseMs,
+      handleStart: () => resolve(true),
+      refuse: (reason) => resolve(refuse(reason)),
     });
   });
   stream.handleClose = undefined;
-  if (refusal === undefined) {
-    return true;
-  }
-  const former = await stopping;
-  if (hasEnded(run)) {
-    return true;
-  }
-  recordFailure(context, run, `resume at ${upstream.record.id}`, refusal);
-  if (former?.type !== "stopped") {
-    resumeSource(context, run, stream);
-    return false;
-  }
-  releaseBufferedEvents(context, run, stream);
-  if (former.cache === undefined && stream.complete !== undefined) {
-    stream.complete(); // the source had completed it before the call
-  } else {
-    run.restore(`stopped for a move; ${upstream.record.id} has not resumed it: ${refusal}`);
-  }
-  return true;
-}
-
-/** Goes on with the stream of the source, which may have failed in the meantime. */
-function resumeSource(
-  context: ForwardingContext,
-  run: GenerationRun,
-  stream: GenerationStream,
-): void {
-  run.phase = "running";
-  releaseBufferedEvents(context, run, stream);
-  if (stream.closed === "fail") {
-    run.restore("source stream failed while another upstream was requested to resume");
+  if (!hasResumed) {
+    releaseBufferedEvents(context, run, stream);
   }
-}
-
-function releaseBufferedEvents(
-  context: ForwardingContext,
-  run: GenerationRun,
-  stream: GenerationStream,
-): void {
-  const buffered = stream.bufferedEvents ?? [];
-  stream.bufferedEvents = undefined;
-  buffered.forEach((event) => sendEvent(context, run, event));
-}
-
-/** Waits until the stream of an engine that has stopped the generation has brought its last event. */
-async function waitForClose(context: ForwardingContext, stream: GenerationStream): Promise<void> {
-  const closed = new Promise<void>((resolve) => {
-    stream.handleClose = resolve;
-    if (stream.closed !== undefined) {
-      resolve();
-    }
-  });
-  await Promise.race([closed, waitFor(context.clock, FORWARDING_LIMITS.lastEventsMs)]);
-  stream.handleClose = undefined;
-}
-
-/** Whether the run has ended, during a wait. */
-function hasEnded(run: GenerationRun): boolean {
-  return run.phase === "ended";
+  return hasResumed;
 }
 
 /** Whether the run is still on its source, after a wait in which it may have ended or failed. */
@@ -344,6 +255,23 @@
   return isEvacuated(upstreams, record) || upstreams.upstreams.get(record.id)?.status === "leaving";
 }
 
+function releaseBufferedEvents(
+  context: ForwardingContext,
+  run: GenerationRun,
+  stream: GenerationStream,
+): void {
+  if (run.phase === "ended") {
+    return;
+  }
+  const buffered = stream.bufferedEvents ?? [];
+  stream.bufferedEvents = undefined;
+  run.phase = "running";
+  buffered.forEach((event) => sendEvent(context, run, event));
+  if (stream.closed === "fail") {
+    run.restore("source stream failed while another upstream was requested to resume");
+  }
+}
+
 function recordStart(
   context: ForwardingContext,
   run: GenerationRun,
--- a/packages/daemon/src/forwarding/open_generation_exchange.ts
+++ b/packages/daemon/src/forwarding/open_generation_exchange.ts
@@ -30,8 +30,6 @@
   readonly backupTarget: Upstream | undefined;
   readonly resumeFrom?: KvCacheSource;
   readonly lastEventId: number | undefined;
-  /** The upstream has stopped the generation for a move that failed. */
-  readonly isReturn?: boolean;
 }
 
 /** Sends a request to start or resume a generation to an upstream. */
@@ -54,7 +52,6 @@
   const exchange = context.openExchange({
     address: upstream.record.address,
     upstreamId: upstream.record.id,
-    isReturn: options.isReturn === true,
     method: request.method,
     target: request.target,
     headers: dialect.encodeRequest(request.rawHeaders, {
--- a/packages/daemon/src/forwarding/relay_events.ts
+++ b/packages/daemon/src/forwarding/relay_events.ts
@@ -36,7 +36,7 @@
     }
   };
   const recordClose = (failure?: string) => {
-    if (!stream.isDetached && !stream.isStopping && run.phase !== "ended") {
+    if (!stream.isDetached && run.phase !== "ended") {
       const [, , rawHeaders = []] = head ?? [];
       recordStreamClose(context, run, { rawHeaders, failure, remainingBytes: remaining.length });
     }
@@ -97,7 +97,7 @@
   const handleFailure = (reason: string, cause: RerunCause = "brokenStream") => {
     stream.closed = "fail";
     stream.handleClose?.();
-    if (run.upstream !== undefined && !stream.isDetached && !stream.isStopping) {
+    if (run.upstream !== undefined && !stream.isDetached) {
       recordGenerationLoss(context, run, run.upstream, { hasHead: true, firstEventAtMs });
     }
     if (run.phase === "running" && !stream.isDetached) {
@@ -105,20 +105,6 @@
     }
   };
 
-  const complete = () => {
-    stream.closed = "end";
-    stream.handleClose?.();
-    if (run.phase === "ended" || stream.isDetached) {
-      return;
-    }
-    stream.bufferedEvents?.forEach((event) => sendEvent(context, run, event));
-    startAnswer();
-    reply.endStream();
-    context.quarantine.recordRequestEnd(run.request.fingerprint, true);
-    context.promptParts.recordSound(run.request.partKeys);
-    run.finish("answered");
-  };
-
   return {
     start: (status, statusText, rawHeaders) => {
       head = [status, statusText, rawHeaders];
@@ -138,20 +124,26 @@
     },
     end: () => {
       recordClose();
-      const framing = findBodyFraming(head?.[2] ?? []);
       const decision = decideStreamEnd({
-        framing,
+        framing: findBodyFraming(head?.[2] ?? []),
         hasEvent: firstEventAtMs !== undefined,
         remainingBytes: remaining.length,
       });
       if (decision.type === "brokenOff") {
         handleFailure(decision.reason);
-      } else if (stream.isStopping && framing === "connection") {
-        stream.complete = complete;
-        handleFailure("connection ended after its engine was told to stop");
-      } else {
-        complete();
+        return;
       }
+      stream.closed = "end";
+      stream.handleClose?.();
+      if (run.phase === "ended" || stream.isDetached) {
+        return;
+      }
+      stream.bufferedEvents?.forEach((event) => sendEvent(context, run, event));
+      startAnswer();
+      reply.endStream();
+      context.quarantine.recordRequestEnd(run.request.fingerprint, true);
+      context.promptParts.recordSound(run.request.partKeys);
+      run.finish("answered");
     },
     fail: (reason) => {
       recordClose(reason);
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -1,10 +1,12 @@
+import type { KvCacheSource } from "../adapters/deployment_dialect.ts";
 import { getPauseMs } from "../upstreams/mod.ts";
+import type { Upstream } from "../upstreams/mod.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
 import { decideRestoreRetry } from "./decide_restore_retry.ts";
+import { dropKeptCache } from "./drop_kept_cache.ts";
 import { endInterrupted } from "./end_interrupted.ts";
 import { claimPermit } from "./claim_permit.ts";
 import { findBackupCopy } from "./find_backup_copy.ts";
-import { findKeptCache } from "./find_kept_cache.ts";
 import type { BackupCopy } from "./find_backup_copy.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun, RerunCause } from "./generation_run.ts";
@@ -30,6 +32,7 @@
       endInterrupted(context, run, detail);
     }
   };
+  let copied: { upstream: Upstream; cache: KvCacheSource | undefined } | undefined;
   const computeElapsedMs = () => context.clock.readMonotonicMs() - startMs;
   const canRunAgain = () =>
     run.decideRecovery({ outcome: "broken", hasCopy: false }) === "runAgain";
@@ -40,8 +43,7 @@
       }
     });
   const tryRestore = () => {
-    // An engine that has just stopped it for a move that failed has all of its KV cache.
-    const copy = findKeptCache(context, run) ?? findBackupCopy(context, run);
+    const copy = findBackupCopy(context, run);
     // Without an event from its engine there may be no copy, and a faulty engine could start the
     // request again.
     const hasCopy = run.lastEventId !== undefined && run.inFlight?.isPrefilling === false;
@@ -76,26 +78,16 @@
     stopAndResume(copy).catch((error) => endInterrupted(context, run, `${reason}; ${error}`));
   };
   const stopAndResume = async (copy: BackupCopy) => {
-    const left = run.upstream;
-    const former = left === undefined ? undefined : await stopFormerEngine(context, run, {
-      left,
-      stream: run.stream,
-      target: copy.upstream,
-      waitMs: FORWARDING_LIMITS.stopWaitMs,
-      restingWaitMs: FORWARDING_LIMITS.restoreTimeoutMs - computeElapsedMs(),
-      isFinal: true,
-    });
+    const former = await stopFormer(copy);
     if (run.phase !== "switching") {
       return;
     }
-    if (former?.type === "stopped" && former.cache === undefined) {
-      run.stream?.complete?.(); // its engine had completed it before the call
-    }
-    if (hasEnded(run)) {
-      return;
-    }
-    if (former?.type === "resting" || former?.type === "evacuated") {
-      giveUpCopy(`${reason}; its engine may run on and cannot be told to stop: ${former.reason}`);
+    if (former?.type === "untold" && !run.request.route.isResumable) {
+      endInterrupted(
+        context,
+        run,
+        `${reason}; its engine may run on and cannot be told: ${former.reason}`,
+      );
       return;
     }
     const leftMs = canRunAgain()
@@ -113,18 +105,37 @@
     const isPausing =
       getPauseMs(context.upstreams, copy.upstream.record, context.clock.readMonotonicMs()) > 0;
     if (permit.type === "granted") {
-      const hasAll = former?.type === "stopped" && former.copiedTo === copy.upstream;
-      resumeFrom({ ...copy, source: hasAll ? former.cache ?? copy.source : copy.source });
+      resumeFrom({ ...copy, source: takeCache(copy) ?? copy.source });
     } else if (isPausing) {
       tryRestore();
     } else {
       giveUpCopy(`${reason}; the backup copy's upstream is at its limit`);
     }
   };
-  const resumeFrom = (copy: BackupCopy) => {
-    if (run.stopped !== undefined && copy.source === run.stopped.cache) {
-      run.stopped = { ...run.stopped, cache: undefined }; // a handle can be used once
+  /** Stops the generation at its engine; once, however often it is tried to be restored. */
+  const stopFormer = async (copy: BackupCopy) => {
+    const { upstream: left, stream } = run;
+    if (left === undefined || stream === undefined || stream.stopCalls !== undefined) {
+      return stream?.stopCalls?.latest;
+    }
+    const former = await stopFormerEngine(context, run, {
+      ...{ left, stream, target: copy.upstream },
+      untoldWaitMs: run.request.route.isResumable ? 0 : FORWARDING_LIMITS.untoldWaitMs,
+    });
+    if (former.type === "stopped" && former.copiedTo !== undefined) {
+      copied = { upstream: former.copiedTo, cache: former.cache };
+    } else if (former.type === "stopped") {
+      dropKeptCache(context, run, former.cache);
     }
+    return former;
+  };
+  /** Takes the cache that the former engine has copied to the upstream; a handle is used once. */
+  const takeCache = ({ upstream }: BackupCopy) => {
+    const cache = copied?.upstream.record.id === upstream.record.id ? copied.cache : undefined;
+    copied = undefined;
+    return cache;
+  };
+  const resumeFrom = (copy: BackupCopy) => {
     resumeGeneration(context, run, {
       ...copy,
       way: "copy",
@@ -136,9 +147,6 @@
           run.tried.add(copy.upstream.record.id);
         }
         const detail = `${reason}; resuming from the backup copy failed: ${resumeFailure}`;
-        if (run.phase === "switching" && returnToSource()) {
-          return;
-        }
         if (run.runAgain(detail, cause)) {
           return;
         }
@@ -159,20 +167,5 @@
       },
     });
   };
-  /** Resumes at the engine that has stopped the generation, from the KV cache that it keeps. */
-  const returnToSource = () => {
-    const kept = findKeptCache(context, run);
-    if (kept === undefined) {
-      return false;
-    }
-    budget.countRetry();
-    resumeFrom(kept);
-    return true;
-  };
   tryRestore();
 }
-
-/** Whether the run has ended, during a wait. */
-function hasEnded(run: GenerationRun): boolean {
-  return run.phase === "ended";
-}
--- a/packages/daemon/src/forwarding/resume_generation.ts
+++ b/packages/daemon/src/forwarding/resume_generation.ts
@@ -4,10 +4,9 @@
 import type { Upstream } from "../upstreams/mod.ts";
 import { chooseGenerationUpstream } from "./choose_generation_upstream.ts";
 import { createGenerationStream } from "./create_generation_stream.ts";
-import { FORWARDING_LIMITS } from "./constants.ts";
-import type { ForwardingContext } from "./forwarding_context.ts";
 import { dropKeptCache } from "./drop_kept_cache.ts";
-import type { GenerationRun } from "./generation_run.ts";
+import type { ForwardingContext } from "./forwarding_context.ts";
+import type { GenerationRun, GenerationStream } from "./generation_run.ts";
 import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordReachability } from "./record_reachability.ts";
 import { openGenerationExchange } from "./open_generation_exchange.ts";
@@ -34,7 +33,7 @@
 /**
  * Requests an upstream that has a generation's KV cache to resume it after the last event sent to
  * the caller. When the new stream starts, the former one is closed, and its engine told to stop
- * unless it has confirmed that before.
+ * unless that was done before.
  */
 export function resumeGeneration(
   context: ForwardingContext,
@@ -69,23 +68,17 @@
     : undefined;
   inFlight.copyUpstreamId = backupTarget?.record.id;
   const formerStream = run.stream;
-  const stoppedBefore = run.stopped;
-  const isReturn = stoppedBefore?.upstream.record.id === upstream.record.id;
-  if (isReturn) {
-    run.stopped = undefined; // from now on it may run there again
-  }
   const stream = createGenerationStream();
   run.resumingStream = stream;
   run.resumingAt = upstream;
   /** Tells the upstream to stop: it may have begun, and its response may have been lost. */
   const giveUp = async (reason: string) => {
     run.resumingAt = undefined;
+    run.hasLateTarget = true;
     const left = await stopFormerEngine(context, run, {
-      left: upstream,
-      stream,
+      ...{ left: upstream, stream },
       target: run.upstream ?? upstream,
-      waitMs: FORWARDING_LIMITS.stopWaitMs,
-      isFinal: true,
+      mayStartLate: true,
     });
     dropKeptCache(context, run, left.type === "stopped" ? left.cache : undefined);
     options.refuse(reason, false);
@@ -107,18 +100,16 @@
     run.resumingAt = undefined;
     options.refuse(failure.reason, hasNotExecuted(failure.outcome));
   });
-  /** The close of its stream may not reach the former engine. */
-  const confirmStop = async (left: Upstream) => {
+  /** Closing its stream may not reach the former engine. */
+  const confirmStop = async (left: Upstream, formerStream: GenerationStream) => {
+    if (formerStream.stopCalls !== undefined) {
+      return; // it was told before the generation was resumed
+    }
     const former = await stopFormerEngine(context, run, {
-      left,
-      stream: formerStream,
-      target: upstream,
-      waitMs: FORWARDING_LIMITS.stopWaitMs,
-      isFinal: true,
+      ...{ left, stream: formerStream, target: upstream },
+      hasPermit: true,
     });
-    if (former !== stoppedBefore) {
-      dropKeptCache(context, run, former.type === "stopped" ? former.cache : undefined);
-    }
+    dropKeptCache(context, run, former.type === "stopped" ? former.cache : undefined);
   };
   const startMs = context.clock.readMonotonicMs();
   stream.exchange = openGenerationExchange(context, {
@@ -127,7 +118,6 @@
     backupTarget,
     resumeFrom: options.source,
     lastEventId: run.lastEventId,
-    isReturn,
   }, {
     ...relay,
     start: (status, statusText, rawHeaders) => {
@@ -141,22 +131,17 @@
         formerStream: formerStream?.closed ?? "open",
         formerQuietMs: Math.round(context.clock.readMonotonicMs() - run.lastEventAtMs),
       };
-      if (formerStream !== undefined) {
+      if (run.upstream !== undefined && formerStream !== undefined) {
         formerStream.isDetached = true;
         formerStream.exchange?.abort();
-      }
-      if (run.upstream !== undefined) {
         run.tried.add(run.upstream.record.id);
-        if (!isReturn) {
-          confirmStop(run.upstream).catch(run.reportFault);
-        }
+        confirmStop(run.upstream, formerStream).catch(run.reportFault);
       }
       run.phase = "running";
       run.stream = stream;
       run.resumingStream = undefined;
       run.resumingAt = undefined;
-      run.stopped = undefined;
-      run.hasReturned = isReturn;
+      run.hasLateTarget = false;
       run.upstream = upstream;
       run.inFlight = inFlight;
       // No event has arrived on this stream; the gap to its first event is measured from here.
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -86,7 +86,6 @@
     stream: undefined,
     resumingStream: undefined,
     resumingAt: undefined,
-    stopped: undefined,
     reportFault: options.reportFault,
     inFlight: undefined,
     tried,
@@ -105,7 +104,7 @@
     longestGapMs: 0,
     lastEventAtMs: context.clock.readMonotonicMs(),
     silenceCheckAtMs: 0,
-    hasReturned: false,
+    hasLateTarget: false,
     isMigrating: false,
     restore: (reason, cause = "brokenStream") => {
       if (run.phase === "ended") {
@@ -248,14 +247,13 @@
   /** Waits for what has to be known of the former run before there may be another one. */
   const prepareRerun = async (cause: RerunCause) => {
     const { lossRecorded, executedAttempts, upstream } = run;
-    if (upstream !== undefined && !ENDED_CAUSES.has(cause)) {
+    if (upstream !== undefined && run.stream !== undefined && !ENDED_CAUSES.has(cause)) {
       const nowMs = context.clock.readMonotonicMs();
       const former = await stopFormerEngine(context, run, {
         left: upstream,
         stream: run.stream,
         target: listLeft(nowMs)[0] ?? upstream,
-        waitMs: FORWARDING_LIMITS.stopWaitMs,
-        isFinal: true,
+        mayStartLate: cause === "lostResponse",
       });
       dropKeptCache(context, run, former.type === "stopped" ? former.cache : undefined);
     }
@@ -294,8 +292,7 @@
     }
     isRetryCounted = false;
     run.phase = "running";
-    run.stopped = undefined;
-    run.hasReturned = false;
+    run.hasLateTarget = false;
     run.upstream = upstream;
     run.inFlight = inFlight;
     run.lastEventAtMs = nowMs;
--- a/packages/daemon/src/forwarding/stop_former_engine.ts
+++ b/packages/daemon/src/forwarding/stop_former_engine.ts
@@ -2,10 +2,10 @@
 import type { Upstream } from "../upstreams/mod.ts";
 import { claimPermit } from "./claim_permit.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
-import type { FormerEngine, StopCalls, StoppedGeneration } from "./former_engine.ts";
+import { dropKeptCache } from "./drop_kept_cache.ts";
+import type { FormerEngine, StopCalls } from "./former_engine.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { GenerationRun, GenerationStream } from "./generation_run.ts";
-import { dropKeptCache } from "./drop_kept_cache.ts";
 import { isCallable } from "./is_callable.ts";
 import { waitFor } from "./wait_for.ts";
 
@@ -13,63 +13,59 @@
 export interface StopOptions {
   /** The engine that may run the generation. */
   readonly left: Upstream;
-  /** Its response stream. */
-  readonly stream: GenerationStream | undefined;
+  /** Its response stream, which has failed or is given up. */
+  readonly stream: GenerationStream;
   /** The engine that is to run it next, and receives the rest of its KV cache. */
   readonly target: Upstream;
-  /** Time to wait for the engine's response. */
-  readonly waitMs: number;
-  /** The same time for an engine that must not be called for now. */
-  readonly restingWaitMs?: number;
-  /**
-   * The generation goes on elsewhere in any case: the engine is told again after that time, until it
-   * responds, it is gone, or the deadline of the request has passed.
-   */
-  readonly isFinal: boolean;
+  /** Time to wait for an engine that lives but cannot be told for now. */
+  readonly untoldWaitMs?: number;
+  /** A permit for the first call has been claimed. */
+  readonly hasPermit?: boolean;
+  /** The request may still wait at the engine, which then knows of no such generation. */
+  readonly mayStartLate?: boolean;
 }
 
 /**
- * Stops a generation at an engine before it goes on at another one. The call uses a new connection:
- * whatever happened to the host's end of the stream does not show that the engine has noticed.
+ * Stops a generation at an engine that it leaves. The call uses a new connection: whatever happened
+ * to the host's end of the stream does not show that the engine has noticed. Resolves as soon as the
+ * generation need not wait any longer; an engine that has not confirmed is told again until it
+ * responds, it is gone, or the deadline of the request has passed.
  */
 export async function stopFormerEngine(
   context: ForwardingContext,
   run: GenerationRun,
   options: StopOptions,
 ): Promise<FormerEngine> {
-  const { left, stream, waitMs, restingWaitMs = 0, isFinal } = options;
-  if (run.stopped !== undefined && stream === run.stream) {
-    return run.stopped;
-  }
+  const { left, stream, untoldWaitMs = 0 } = options;
   if (run.request.service.engine?.canMove !== true) {
     return { type: "notStoppable", reason: "the service has no call to stop a generation" };
   }
-  if (stream?.stopCalls !== undefined) {
+  if (stream.stopCalls !== undefined) {
     return stream.stopCalls.latest; // they go on
   }
   const startMs = context.clock.readMonotonicMs();
   const calls: StopCalls = {
-    latest: { type: "unreachable", reason: `no response within ${waitMs} ms` },
+    latest: {
+      type: "unreachable",
+      reason: `no response within ${FORWARDING_LIMITS.stopWaitMs} ms`,
+    },
     isAwaited: true,
   };
-  if (stream !== undefined) {
-    stream.isStopping = true;
-    stream.stopCalls = isFinal ? calls : undefined;
-  }
+  stream.stopCalls = calls;
   const settled = new Promise<void>((resolve) => {
-    callUntilStopped(context, run, { ...options, calls, settle: resolve }).catch(run.reportFault);
+    callUntilStopped(context, run, { ...options, calls, settle: resolve }).catch((error) => {
+      run.reportFault(error);
+      resolve();
+    });
   });
   const waitForCalls = (delayMs: number) =>
     Promise.race([settled, waitFor(context.clock, delayMs)]);
-  await waitForCalls(waitMs);
-  if (calls.latest.type === "resting" && restingWaitMs > waitMs) {
-    await waitForCalls(restingWaitMs - waitMs);
+  await waitForCalls(FORWARDING_LIMITS.stopWaitMs);
+  if (calls.latest.type === "untold" && untoldWaitMs > FORWARDING_LIMITS.stopWaitMs) {
+    await waitForCalls(untoldWaitMs - FORWARDING_LIMITS.stopWaitMs);
   }
   calls.isAwaited = false;
   const former = calls.latest;
-  if (former.type === "stopped" && stream === run.stream) {
-    run.stopped = former;
-  }
   context.metrics.increment("forwarding.stops", 1, { end: former.type });
   context.logger.writeEvent("formerEngineLeft", {
     request: run.request.requestId,
@@ -93,63 +89,78 @@
   run: GenerationRun,
   options: CallOptions,
 ): Promise<void> {
-  const { left, stream, isFinal, calls, settle } = options;
-  const { upstreams, clock } = context;
-  const isOver = () => {
-    const known = upstreams.upstreams.get(left.record.id);
-    const isGone = known === undefined || known.status === "gone" ||
-      !isSameIncarnation(known.record, left.record);
-    const hasReturned = run.resumingAt?.record.id === left.record.id ||
-      (run.phase === "running" && run.upstream?.record.id === left.record.id &&
-        run.stream !== stream);
-    return isGone || hasReturned || clock.readMonotonicMs() >= run.request.deadlineAtMs ||
-      !(isFinal || calls.isAwaited);
-  };
+  const { left, calls, settle } = options;
+  const isOver = () => isStopOver(context, run, options);
   let delayMs: number = FORWARDING_LIMITS.stopRetryMs;
-  for (let failures = 0;;) {
-    const former = await callOnce(context, run, options);
-    calls.latest = former;
-    failures += Number(former.type === "unreachable");
-    // One refused connection may be a link's fault; after the second, the engine has most likely ended.
-    if (former.type !== "resting" && (former.type !== "unreachable" || failures > 1)) {
-      settle();
+  let lateCalls = options.mayStartLate === true ? FORWARDING_LIMITS.maxLateStopCalls : 0;
+  for (let failures = 0; !(failures > 0 && isOver());) {
+    const former = await callOnce(context, run, { ...options, isFirst: failures === 0, isOver });
+    if (former === undefined) {
+      break;
     }
+    calls.latest = former;
     if (former.type === "stopped" && !calls.isAwaited) {
-      recordLateStop(context, run, former);
+      context.logger.writeEvent("engineStopped", {
+        request: run.request.requestId,
+        upstream: left.record.id,
+        end: former.cache === undefined ? "absent" : "stopped",
+      });
+      calls.latest = { ...former, cache: undefined, copiedTo: undefined };
+      dropKeptCache(context, run, former.cache);
     }
-    const isRepeated = former.type === "unreachable" || former.type === "resting";
-    if (!isRepeated || isOver()) {
-      settle();
-      return;
+    const isAbsent = former.type === "stopped" && former.cache === undefined;
+    if (former.type === "stopped" && !(isAbsent && lateCalls-- > 0)) {
+      break;
     }
-    await waitFor(clock, delayMs);
-    delayMs = Math.min(delayMs * 2, FORWARDING_LIMITS.maxStopRetryMs);
-    if (isOver()) {
+    failures++;
+    // One refused connection may be a link's fault; after the second, the engine has most likely ended.
+    if (former.type === "stopped" || (former.type === "unreachable" && failures > 1)) {
       settle();
-      return;
     }
+    await waitFor(context.clock, delayMs);
+    delayMs = Math.min(delayMs * 2, FORWARDING_LIMITS.maxStopRetryMs);
   }
+  settle();
+}
+
+/** Whether the engine need not be told again: the generation has come back, or cannot run there. */
+function isStopOver(
+  { upstreams, clock }: Pick<ForwardingContext, "upstreams" | "clock">,
+  run: GenerationRun,
+  { left, stream }: StopOptions,
+): boolean {
+  const known = upstreams.upstreams.get(left.record.id);
+  const isGone = known === undefined || known.status === "gone" ||
+    !isSameIncarnation(known.record, left.record);
+  const hasReturned = run.resumingAt?.record.id === left.record.id ||
+    (run.phase === "running" && run.upstream?.record.id === left.record.id &&
+      run.stream !== stream);
+  return isGone || hasReturned || clock.readMonotonicMs() >= run.request.deadlineAtMs;
+}
+
+interface CallOnceOptions extends StopOptions {
+  readonly isFirst: boolean;
+  readonly isOver: () => boolean;
 }
 
+/** Calls the engine; undefined if it need not be told any more after a wait for the permit. */
 async function callOnce(
   context: ForwardingContext,
   run: GenerationRun,
-  { left, target, waitMs }: StopOptions,
-): Promise<FormerEngine> {
-  if (!isCallable(context, left)) {
-    return { type: "evacuated", reason: "its data centre is evacuated" };
+  options: CallOnceOptions,
+): Promise<FormerEngine | undefined> {
+  const { left, target, isFirst, isOver } = options;
+  const reason = await findObstacle(context, left, isFirst && options.hasPermit === true);
+  if (reason !== undefined) {
+    // A connection without a request tells an engine that must not be called from one that has ended.
+    const isAlive = await context.probeConnection(left.record.address, {
+      timeoutMs: FORWARDING_LIMITS.stopWaitMs / 2,
+      holdMs: FORWARDING_LIMITS.probeHoldMs,
+    });
+    return { type: isAlive ? "untold" : "unreachable", reason };
   }
-  const permit = await claimPermit(context, {
-    upstream: left,
-    priority: FORWARDING_LIMITS.resumePriority,
-    waitMs,
-    patientMs: waitMs,
-  });
-  if (
-    permit.type === "refused" ||
-    getPauseMs(context.upstreams, left.record, context.clock.readMonotonicMs()) > 0
-  ) {
-    return { type: "resting", reason: "it asks for a pause or has reached its limit" };
+  if (!isFirst && isOver()) {
+    return undefined;
   }
   const result = await context.kvCache.stopGeneration({
     sourceAddress: left.record.address,
@@ -157,28 +168,43 @@
     requestId: run.request.requestId,
     timeoutMs: FORWARDING_LIMITS.stopTimeoutMs,
   });
-  if (result.type === "failed") {
-    return { type: "unreachable", reason: result.reason };
+  switch (result.type) {
+    case "stopped":
+      return {
+        type: "stopped",
+        cache: { address: left.record.address, handle: result.handle },
+        copiedTo: result.isCopied ? target : undefined,
+      };
+    case "absent":
+      return { type: "stopped", cache: undefined, copiedTo: undefined };
+    case "refused":
+      return { type: "untold", reason: result.reason };
+    case "failed":
+      return { type: "unreachable", reason: result.reason };
   }
-  const handle = result.type === "stopped" ? result.handle : undefined;
-  return {
-    type: "stopped",
-    upstream: left,
-    cache: handle === undefined ? undefined : { address: left.record.address, handle },
-    copiedTo: result.type === "stopped" && result.isCopied ? target : undefined,
-  };
 }
 
-/** Records a stop after the generation has gone on elsewhere, and frees the KV cache left over. */
-function recordLateStop(
+/** Finds the reason why an engine must not be called now; undefined if it may be. */
+async function findObstacle(
   context: ForwardingContext,
-  run: GenerationRun,
-  { upstream, cache }: StoppedGeneration,
-): void {
-  context.logger.writeEvent("engineStopped", {
-    request: run.request.requestId,
-    upstream: upstream.record.id,
-    end: cache === undefined ? "absent" : "stopped",
+  left: Upstream,
+  hasPermit: boolean,
+): Promise<string | undefined> {
+  if (!isCallable(context, left)) {
+    return "its data centre is evacuated";
+  }
+  const nowMs = context.clock.readMonotonicMs();
+  if (getPauseMs(context.upstreams, left.record, nowMs) > 0) {
+    return "it asks for a pause";
+  }
+  if (hasPermit) {
+    return undefined;
+  }
+  const permit = await claimPermit(context, {
+    upstream: left,
+    priority: FORWARDING_LIMITS.resumePriority,
+    waitMs: FORWARDING_LIMITS.stopWaitMs,
+    patientMs: FORWARDING_LIMITS.stopWaitMs,
   });
-  dropKeptCache(context, run, cache);
+  return permit.type === "refused" ? "it has reached the limit that it names" : undefined;
 }
--- a/packages/daemon/src/gateway/create_evacuation_guard.ts
+++ b/packages/daemon/src/gateway/create_evacuation_guard.ts
@@ -18,16 +18,15 @@
 /**
  * Wraps an exchange so that it sends nothing to an upstream of an evacuated data centre: an upstream
  * that was chosen before the evacuation may be used only after it. Calls, which name no upstream id,
- * pass for a while: generations are copied away by them, and return if no other upstream takes them.
+ * pass for a while: generations are copied away by them.
  */
 export function createEvacuationGuard(options: EvacuationGuardOptions): OpenUpstreamExchange {
   const { clock, logger, state } = options;
-  const findBarred = ({ address, upstreamId, isReturn }: UpstreamExchangeRequest) => {
+  const findBarred = ({ address, upstreamId }: UpstreamExchangeRequest) => {
     const upstream = findUpstreamAt(state, address, upstreamId);
     const learntAtMs = state.evacuated.get(upstream?.record.dataCentre ?? "");
-    const isCall = upstreamId === undefined || isReturn === true;
     const isBarred = learntAtMs !== undefined &&
-      (!isCall || isPastLastCall(learntAtMs, clock.readMonotonicMs()));
+      (upstreamId !== undefined || isPastLastCall(learntAtMs, clock.readMonotonicMs()));
     return isBarred ? upstream : undefined;
   };
   return (request, handler) => {
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -317,6 +317,7 @@
       dialect,
       openExchange: openAllowedExchange,
       kvCache: options.createKvCache(openAllowedExchange),
+      probeConnection: options.probeConnection,
       upstreams: upstreams.state,
       loads,
       limits,
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -118,8 +118,7 @@
     number: 8025,
     level: "info",
     title: "Engine was told to stop a generation that goes on elsewhere, with its response",
-    action:
-      "none if `end` is stopped; unreachable means that it may run on until it responds (engineStopped)",
+    action: "none if `end` is stopped; otherwise it may run on until it responds (engineStopped)",
   },
   settingsInForce: {
     number: 8030,
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -163,7 +163,7 @@
     type: "counter",
     unit: "calls",
     meaning:
-      "Engines told to stop a generation that goes on elsewhere, by tag `end`: stopped, unreachable, resting, evacuated",
+      "Engines told to stop a generation that goes on elsewhere, by tag `end`: stopped, unreachable, untold",
   },
   "upstreams.known": {
     type: "gauge",
