Name the reason when the engine client's contract gets no stream

They now fail with the code and the detail of the failure. They pass and fail in the same cases as before.

--- a/packages/daemon/src/adapters/engine_client_contract_test.ts
+++ b/packages/daemon/src/adapters/engine_client_contract_test.ts
@@ -1,5 +1,6 @@
 import type { ResultError } from "@crocussail/protocol";
 import { expect } from "chai";
+import type { Either } from "purify-ts";
 import type { EngineClient, EngineRequest, EngineStream } from "./engine_client.ts";
 import type { EngineEvent } from "./engine_event_schema.ts";
 
@@ -33,6 +34,14 @@
   cacheSalt: "planners",
 };
 
+/** Returns an opened stream; fails with the reason of a failed open. */
+function unwrapStream(opened: Either<ResultError, EngineStream>): EngineStream {
+  return opened.caseOf({
+    Left: (error) => expect.fail(`open failed: ${JSON.stringify(error)}`),
+    Right: (stream) => stream,
+  });
+}
+
 async function readAll(stream: EngineStream): Promise<EngineEvent[]> {
   const events: EngineEvent[] = [];
   for (let batch = await stream.readBatch(); batch; batch = await stream.readBatch()) {
@@ -55,8 +64,7 @@
 
     afterEach(() => setup.close());
 
-    const start = async () =>
-      (await setup.client.startGeneration(setup.url, REQUEST)).extract() as EngineStream;
+    const start = async () => unwrapStream(await setup.client.startGeneration(setup.url, REQUEST));
 
     it("streams every event of a new generation", async () => {
       setup.setBehaviour("serve");
@@ -68,7 +76,7 @@
     it("resumes from an index", async () => {
       setup.setBehaviour("serve");
       const resumed = await setup.client.resumeGeneration(setup.url, "g1", 2);
-      const events = await readAll(resumed.extract() as EngineStream);
+      const events = await readAll(unwrapStream(resumed));
       expect(events.map((event) => event.index)).to.deep.equal([2, 3]);
     });
 
