Drain the logger of a test before the descriptor that it writes to is closed

Two tests of the engine client's contract failed once each beside load, with an open that returned no stream ("stream.readBatch is not a function"). The fault is in the test that runs before them: the buffered logger writes to the descriptor of a socket whose reader has stalled, and the test closed the socket while the logger had up to 1 MB to write and a retry due (sonic-boom retries EAGAIN after 100 ms). The next connection gets the same number, so the lines of the log went into a connection of the engine client's tests, to the client or to its engine. Without load the retry is overdue when the test ends and fails with EBADF before the number is used again; late retries hit the tests after it.

The test now lets the reader read again and expects the logger to have written everything before it closes the socket; its other expectations are unchanged.

--- a/packages/daemon/src/adapters/create_buffered_logger_test.ts
+++ b/packages/daemon/src/adapters/create_buffered_logger_test.ts
@@ -94,7 +94,11 @@
   });
 
   it("neither blocks nor grows when the reader stalls, and counts dropped lines", async () => {
-    const server = createServer((socket) => socket.pause());
+    let resumeReader = () => {};
+    const server = createServer((socket) => {
+      socket.pause();
+      resumeReader = () => socket.resume();
+    });
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
     const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
     await new Promise<void>((resolve) => socket.once("connect", resolve));
@@ -118,6 +122,9 @@
     expect(performance.now() - startMs).to.be.below(5_000);
     expect(metrics.dropped).to.be.above(10_000);
     expect(grownBytes).to.be.below(64 * 1_048_576);
+    // A write still pending would go to the next connection that gets the number of the descriptor.
+    resumeReader();
+    expect(await logger.flush()).to.equal(true);
     socket.destroy();
     server.close();
   }).timeout(20_000);
