Let an established connection win over a connect timer that fires late

A request forwarded to an upstream failed with "connection timed out", and a probe found an address unreachable, when the process had stalled for longer than the connect timeout, although the kernel had established the connection long before: after a stall the event loop runs due timers before it polls. A stall of a host thus counted as a failure of each upstream to which it was connecting.

A due connect timer now waits for the next check phase, which follows one poll; an established connection is reported in that poll and cancels it. A connection that is not established times out as before, one turn of the event loop later. undici's own connector, which the engine client uses, does the same.

--- a/packages/daemon/src/adapters/open_http_exchange.ts
+++ b/packages/daemon/src/adapters/open_http_exchange.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "undici";
 import { splitAddress } from "../common/split_address.ts";
 import { normalizeStatusText } from "./normalize_status_text.ts";
+import { startConnectTimer } from "./start_connect_timer.ts";
 import type { OpenUpstreamExchange } from "./upstream_exchange.ts";
 import { watchConnectionLoss } from "./watch_connection_loss.ts";
 import { watchFramingBytes } from "./watch_framing_bytes.ts";
@@ -28,12 +29,12 @@
       bodyTimeout: 0,
       connect: (_options, callback) => {
         const socket = connect({ host, port, noDelay: true });
-        const timer = setTimeout(
-          () => socket.destroy(new Error("connection timed out")),
+        const cancelTimer = startConnectTimer(
           request.connectTimeoutMs,
+          () => socket.destroy(new Error("connection timed out")),
         );
         const settle = (error: Error | null) => {
-          clearTimeout(timer);
+          cancelTimer();
           socket.off("connect", handleConnect).off("error", settle);
           if (error === null) {
             readConnectionLoss = watchConnectionLoss(socket);
--- a/packages/daemon/src/adapters/open_http_exchange_test.ts
+++ b/packages/daemon/src/adapters/open_http_exchange_test.ts
@@ -8,8 +8,14 @@
   readonly body: string;
 }
 
-/** Runs an exchange with an upstream that responds by `answer`; returns how the exchange ended. */
-async function runExchange(answer: (socket: Socket) => void): Promise<Outcome> {
+/**
+ * Runs an exchange with an upstream that responds by `answer`, and blocks the process for `stallMs`
+ * while it connects; returns how the exchange ended.
+ */
+async function runExchange(
+  answer: (socket: Socket) => void,
+  stallMs = 0,
+): Promise<Outcome> {
   const server = createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => answer(socket));
@@ -17,6 +23,8 @@
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
   const chunks: Uint8Array[] = [];
+  // The event loop runs due timers next, before it polls for connections.
+  await new Promise((resolve) => setImmediate(resolve));
   const end = await new Promise<Outcome["end"]>((resolve) => {
     openHttpExchange({
       address: `127.0.0.1:${port}`,
@@ -31,6 +39,10 @@
       end: () => resolve("end"),
       fail: (isSent) => resolve(isSent ? "sent" : "notSent"),
     });
+    const untilMs = performance.now() + stallMs;
+    while (performance.now() < untilMs) {
+      // blocks the event loop
+    }
   });
   server.close();
   return { end, body: Buffer.concat(chunks).toString() };
@@ -126,6 +138,12 @@
     }
   });
 
+  it("does not take a connect timer that fires late for a connection that timed out", async () => {
+    const answer = (socket: Socket) => socket.end(`${HEAD}Content-Length: 2\r\n\r\nok`);
+    const outcome = await runExchange(answer, 700);
+    expect(outcome).to.deep.equal({ end: "end", body: "ok" });
+  });
+
   it("reports that nothing was sent when the connection is refused", async () => {
     const isSent = await new Promise<boolean>((resolve) => {
       openHttpExchange({
--- a/packages/daemon/src/adapters/probe_tcp_connection_test.ts
+++ b/packages/daemon/src/adapters/probe_tcp_connection_test.ts
@@ -28,6 +28,18 @@
     expect(await probeTcpConnection(closing, TIMES)).to.equal(false);
   });
 
+  it("does not take a timer that fires late for an address that cannot be reached", async () => {
+    const address = await listen(() => {});
+    // The event loop runs due timers next, before it polls for connections.
+    await new Promise((resolve) => setImmediate(resolve));
+    const probe = probeTcpConnection(address, TIMES);
+    const untilMs = performance.now() + 700;
+    while (performance.now() < untilMs) {
+      // blocks the event loop
+    }
+    expect(await probe).to.equal(true);
+  });
+
   it("does not reach an address at which nothing listens", async () => {
     const address = await listen(() => {});
     await new Promise((resolve) => server?.close(resolve));
