Bound the responses that calls of a host's own buffer, each and together

Callers saw the host that had called a faulty engine run out of memory; the requests of all its other callers ended with it.

Cause: callJson kept up to 32 MiB of any response, a bound made for the watches of the store; copies and stops of KV caches used it too, one call for each generation of an engine that drains. It also kept every chunk as it came: a chunk of one byte costs an object of some hundred bytes.

--- /dev/null
+++ b/packages/daemon/src/common/create_byte_budget.ts
@@ -0,0 +1,45 @@
+/** A limit on the bytes that all holders of a budget buffer together. */
+export interface ByteBudget {
+  /** Opens an account without bytes. */
+  open(): ByteAccount;
+  /** Bytes of all accounts. */
+  readonly usedBytes: number;
+}
+
+/** The bytes of one holder. */
+export interface ByteAccount {
+  /** Adds bytes unless the account would hold more than what is left for the others. */
+  add(bytes: number): boolean;
+  /** Returns all bytes to the budget; called again, it does nothing. */
+  close(): void;
+}
+
+/**
+ * Creates a budget. An account may hold no more bytes than are left, so that however many large ones
+ * there are, a small one still finds room.
+ */
+export function createByteBudget(maxBytes: number): ByteBudget {
+  let usedBytes = 0;
+  return {
+    get usedBytes() {
+      return usedBytes;
+    },
+    open: () => {
+      let heldBytes = 0;
+      return {
+        add: (bytes) => {
+          if (heldBytes + bytes > maxBytes - usedBytes - bytes) {
+            return false;
+          }
+          heldBytes += bytes;
+          usedBytes += bytes;
+          return true;
+        },
+        close: () => {
+          usedBytes -= heldBytes;
+          heldBytes = 0;
+        },
+      };
+    },
+  };
+}
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -28,6 +28,9 @@
 export type { ProbeConnection } from "../adapters/probe_connection.ts";
 export { probeTcpConnection } from "../adapters/probe_tcp_connection.ts";
 export type { OpenUpstreamExchange, UpstreamExchange } from "../adapters/upstream_exchange.ts";
+export { createByteBudget } from "../common/create_byte_budget.ts";
+export type { ByteBudget } from "../common/create_byte_budget.ts";
+export { createByteCollector } from "../common/create_byte_collector.ts";
 export { removeHopByHopHeaders } from "../common/remove_hop_by_hop_headers.ts";
 export type {
   CallerLimits,
