Read each byte of a stream once, however small its chunks are

Callers got nothing from a host for twenty seconds: an engine sent an event without end in chunks of one byte. The 1 MiB after which such a stream is reset was reached only then.

Cause: with each chunk splitEvents joined it to the incomplete event and read the whole again, so the time grew with the square of the event's size. The tests of endless responses sent large pieces only.

The splitter keeps its state between chunks: it reads each byte once, and the bytes of an incomplete event are joined once, when the event is complete.

--- a/packages/daemon/src/forwarding/relay_events.ts
+++ b/packages/daemon/src/forwarding/relay_events.ts
@@ -1,6 +1,7 @@
 import { observePerformance } from "../balancing/mod.ts";
 import { checkEventOrder } from "./check_event_order.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
+import { createEventSplitter } from "./create_event_splitter.ts";
 import { decideStreamEnd } from "./decide_stream_end.ts";
 import { findBodyFraming } from "./find_body_framing.ts";
 import { findEventId } from "./find_event_id.ts";
@@ -10,7 +11,6 @@
 import { recordGenerationLoss } from "./record_generation_loss.ts";
 import { recordStreamClose } from "./record_stream_close.ts";
 import { sendEvent } from "./send_event.ts";
-import { splitEvents } from "./split_events.ts";
 
 /** Creates the handler that relays a stream to the caller in complete events. */
 export function relayEvents(
@@ -23,7 +23,7 @@
   let head: [number, string, readonly string[]] | undefined;
   let firstEventAtMs: number | undefined;
   let isWellUnderWay = false;
-  let remaining: Uint8Array = new Uint8Array();
+  const splitter = createEventSplitter();
   let bytesSinceNewId = 0;
   let hasFailed = false;
   let lastReceivedId: number | undefined;
@@ -38,7 +38,11 @@
   const recordClose = (failure?: string) => {
     if (!stream.isDetached && !stream.isStopping && run.phase !== "ended") {
       const [, , rawHeaders = []] = head ?? [];
-      recordStreamClose(context, run, { rawHeaders, failure, remainingBytes: remaining.length });
+      recordStreamClose(context, run, {
+        rawHeaders,
+        failure,
+        remainingBytes: splitter.countRemaining(),
+      });
     }
   };
   /** Whether an event is to be sent; a resumable stream that has left one out fails instead. */
@@ -127,10 +131,9 @@
       if (run.phase === "ended" || stream.isDetached) {
         return;
       }
-      const split = splitEvents(remaining, chunk);
-      remaining = split.remaining;
+      const events = splitter.add(chunk);
       bytesSinceNewId += chunk.length;
-      split.events.forEach(receiveEvent);
+      events.forEach(receiveEvent);
       if (bytesSinceNewId > FORWARDING_LIMITS.maxEventBytes) {
         stream.exchange?.abort();
         handleFailure("stream has no new event within the largest size of one");
@@ -142,7 +145,7 @@
       const decision = decideStreamEnd({
         framing,
         hasEvent: firstEventAtMs !== undefined,
-        remainingBytes: remaining.length,
+        remainingBytes: splitter.countRemaining(),
       });
       if (decision.type === "brokenOff") {
         handleFailure(decision.reason);
