Bound the responses that a host buffers for all requests together

Callers of other services lost their requests when a faulty upstream sent large responses to many requests at once: the host ran out of memory.

Cause: each response was bounded at 4 MiB, and their number was not. A response in chunks of one byte also kept an object for each of its bytes.

All buffered responses, of upstreams and of other hosts, share 16 MiB now; one may hold as much as is left. Their room is returned when the response is complete, given up or aborted.

--- a/packages/daemon/src/common/create_byte_budget.ts
+++ b/packages/daemon/src/common/create_byte_budget.ts
@@ -10,7 +10,7 @@
 export interface ByteAccount {
   /** Adds bytes unless the account would hold more than what is left for the others. */
   add(bytes: number): boolean;
-  /** Returns all bytes to the budget; called again, it does nothing. */
+  /** Returns all bytes to the budget; no more can be added. */
   close(): void;
 }
 
@@ -26,9 +26,10 @@
     },
     open: () => {
       let heldBytes = 0;
+      let isClosed = false;
       return {
         add: (bytes) => {
-          if (heldBytes + bytes > maxBytes - usedBytes - bytes) {
+          if (isClosed || heldBytes + bytes > maxBytes - usedBytes - bytes) {
             return false;
           }
           heldBytes += bytes;
@@ -36,6 +37,7 @@
           return true;
         },
         close: () => {
+          isClosed = true;
           usedBytes -= heldBytes;
           heldBytes = 0;
         },
--- a/packages/daemon/src/forwarding/collect_answer.ts
+++ b/packages/daemon/src/forwarding/collect_answer.ts
@@ -1,4 +1,5 @@
 import type { UpstreamExchange, UpstreamExchangeRequest } from "../adapters/upstream_exchange.ts";
+import { createBoundedBuffer } from "../common/create_bounded_buffer.ts";
 import { decideOutcome } from "../retries/mod.ts";
 import type { AnswerHead, AttemptOutcome } from "../retries/mod.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
@@ -18,7 +19,7 @@
 
 /** Options of {@link collectAnswer}. */
 export interface CollectOptions {
-  readonly context: Pick<ForwardingContext, "openExchange" | "dialect" | "clock">;
+  readonly context: Pick<ForwardingContext, "openExchange" | "dialect" | "clock" | "answerBudget">;
   readonly request: UpstreamExchangeRequest;
   readonly requestId: string;
   readonly timeoutMs: number;
@@ -28,18 +29,16 @@
 
 /** Sends a request and waits up to `timeoutMs` for the complete response. */
 export function collectAnswer(options: CollectOptions): Promise<CollectedAnswer> {
-  const { context: { openExchange, dialect, clock }, requestId } = options;
+  const { context: { openExchange, dialect, clock, answerBudget }, requestId } = options;
   return new Promise((resolve) => {
-    const chunks: Uint8Array[] = [];
-    let size = 0;
+    const buffer = createBoundedBuffer(answerBudget, FORWARDING_LIMITS.maxAnswerBytes);
     let answer = { status: 0, statusText: "", rawHeaders: [] as readonly string[] };
     let head: AnswerHead | undefined;
     let isConnectionLost = false;
     let exchange: UpstreamExchange | undefined = undefined;
     const settle = (outcome: AttemptOutcome, reason: string) => {
       timer.cancel();
-      const body = chunks.length === 1 ? chunks[0] as Uint8Array : Buffer.concat(chunks);
-      resolve({ outcome, reason, isConnectionLost, ...answer, body });
+      resolve({ outcome, reason, isConnectionLost, ...answer, body: buffer.take() });
     };
     const abort = (reason: string) => {
       exchange?.abort();
@@ -55,10 +54,9 @@
         head = dialect.decodeAnswer(status, rawHeaders);
       },
       receiveData: (chunk) => {
-        chunks.push(chunk);
-        size += chunk.length;
-        if (size > FORWARDING_LIMITS.maxAnswerBytes) {
-          abort("response exceeds the size that this host buffers");
+        const excess = buffer.add(chunk);
+        if (excess !== undefined) {
+          abort(excess);
         }
       },
       end: () => settle(...decideOutcome(answer.status, head, requestId)),
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -4,6 +4,7 @@
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { chooseService } from "../routes/mod.ts";
 import type { RequestKind, RouteSettings } from "../routes/mod.ts";
+import { createByteBudget } from "../common/create_byte_budget.ts";
 import type { AcceptedHandover } from "../handover/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { CallerReply } from "./caller_reply.ts";
@@ -32,7 +33,7 @@
 
 /** Options of {@link createForwarder}. */
 export interface ForwarderOptions {
-  readonly context: Omit<ForwardingContext, "timerDelays">;
+  readonly context: Omit<ForwardingContext, "timerDelays" | "answerBudget">;
   readonly readSettings: () => RouteSettings | undefined;
   readonly isLeaving: () => boolean;
   /** Whether callers had the time to learn that this host drains. */
@@ -84,6 +85,7 @@
   const context: ForwardingContext = {
     ...options.context,
     timerDelays: createTimerDelays(clock),
+    answerBudget: createByteBudget(FORWARDING_LIMITS.maxAnswerBytesTogether),
   };
   const waitQueue = createWaitQueue();
   const runs = new Set<GenerationRun>();
--- a/packages/daemon/src/forwarding/forwarding_context.ts
+++ b/packages/daemon/src/forwarding/forwarding_context.ts
@@ -2,6 +2,7 @@
 import type { DeploymentDialect } from "../adapters/deployment_dialect.ts";
 import type { KvCacheClient } from "../adapters/kv_cache_client.ts";
 import type { OpenUpstreamExchange } from "../adapters/upstream_exchange.ts";
+import type { ByteBudget } from "../common/create_byte_budget.ts";
 import type { TimerDelays } from "./create_timer_delays.ts";
 import type { BrittleUpstreams } from "../brittle_upstreams/mod.ts";
 import type { LoadState } from "../balancing/mod.ts";
@@ -22,6 +23,8 @@
   readonly openExchange: OpenUpstreamExchange;
   readonly kvCache: KvCacheClient;
   readonly timerDelays: TimerDelays;
+  /** Bytes of responses that are buffered, of all requests together. */
+  readonly answerBudget: ByteBudget;
   readonly upstreams: UpstreamState;
   readonly loads: LoadState;
   readonly limits: Pick<
--- a/packages/daemon/src/forwarding/offer_request.ts
+++ b/packages/daemon/src/forwarding/offer_request.ts
@@ -1,4 +1,5 @@
 import type { UpstreamExchange } from "../adapters/upstream_exchange.ts";
+import { createBoundedBuffer } from "../common/create_bounded_buffer.ts";
 import { HANDOVER_LIMITS } from "../handover/mod.ts";
 import type { HandoverHost } from "../handover/mod.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
@@ -80,19 +81,20 @@
 
 /** Offers a request to one host; resolves when its response has ended or it has declined. */
 function offerToHost(
-  { clock, handover }: ForwardingContext,
+  { clock, handover, answerBudget }: ForwardingContext,
   request: ForwardedRequest,
   options: RequestHandoverOptions,
   host: HandoverHost,
 ): Promise<OfferEnd> {
   const { reply } = request;
   return new Promise((resolve) => {
-    const chunks: Uint8Array[] = [];
-    let size = 0;
+    const buffer = createBoundedBuffer(answerBudget, HANDOVER_LIMITS.maxAnswerBytes);
     let head = { status: 0, statusText: "", rawHeaders: [] as readonly string[] };
     let refusal: string | undefined;
+    let body: Uint8Array = new Uint8Array();
     const settle = (offer: OfferEnd) => {
       timer.cancel();
+      buffer.take();
       resolve(offer);
     };
     const settleEnded = (end: string) => settle({ type: "ended", end, status: head.status });
@@ -114,7 +116,7 @@
       () => abort("timeout", "deadline exceeded"),
     );
     const sendAnswer = () =>
-      reply.sendResponse(head.status, head.statusText, head.rawHeaders, Buffer.concat(chunks));
+      reply.sendResponse(head.status, head.statusText, head.rawHeaders, body);
     const exchange = handover.open(host, {
       requestId: request.requestId,
       method: request.method,
@@ -138,13 +140,13 @@
           }
           return;
         }
-        chunks.push(chunk);
-        size += chunk.length;
-        if (size > HANDOVER_LIMITS.maxAnswerBytes) {
-          abort("unknown", "response exceeds the size that this host buffers");
+        const excess = buffer.add(chunk);
+        if (excess !== undefined) {
+          abort("unknown", excess);
         }
       },
       end: () => {
+        body = buffer.take();
         const isOwner = options.among !== undefined;
         if (refusal !== undefined && (isOwner ? OWNER_REFUSALS : HOST_REFUSALS).has(refusal)) {
           settle({ type: "declined", reason: refusal, answer: sendAnswer });
--- a/packages/daemon/src/forwarding/open_generation_exchange.ts
+++ b/packages/daemon/src/forwarding/open_generation_exchange.ts
@@ -1,5 +1,6 @@
 import type { KvCacheSource } from "../adapters/deployment_dialect.ts";
 import type { UpstreamExchange } from "../adapters/upstream_exchange.ts";
+import { createBoundedBuffer } from "../common/create_bounded_buffer.ts";
 import { decideOutcome } from "../retries/mod.ts";
 import type { AnswerHead, AttemptOutcome } from "../retries/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
@@ -36,7 +37,7 @@
 
 /** Sends a request to start or resume a generation to an upstream. */
 export function openGenerationExchange(
-  context: Pick<ForwardingContext, "openExchange" | "dialect" | "clock">,
+  context: Pick<ForwardingContext, "openExchange" | "dialect" | "clock" | "answerBudget">,
   options: GenerationExchangeOptions,
   handler: GenerationHandler,
 ): UpstreamExchange {
@@ -47,10 +48,9 @@
   let answer = { status: 0, statusText: "", rawHeaders: [] as readonly string[] };
   let head: AnswerHead | undefined;
   let hasStarted = false;
-  const chunks: Uint8Array[] = [];
-  let size = 0;
+  const buffer = createBoundedBuffer(context.answerBudget, FORWARDING_LIMITS.maxAnswerBytes);
   const refuse = (outcome: StartFailure["outcome"], reason: string, isConnectionLost = false) =>
-    handler.refuse({ outcome, reason, isConnectionLost, ...answer, body: Buffer.concat(chunks) });
+    handler.refuse({ outcome, reason, isConnectionLost, ...answer, body: buffer.take() });
   const exchange = context.openExchange({
     address: upstream.record.address,
     upstreamId: upstream.record.id,
@@ -81,11 +81,10 @@
         handler.receiveData(chunk);
         return;
       }
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size > FORWARDING_LIMITS.maxAnswerBytes) {
+      const excess = buffer.add(chunk);
+      if (excess !== undefined) {
         exchange.abort();
-        refuse("broken", "response exceeds the size that this host buffers");
+        refuse("broken", excess);
       }
     },
     end: () => {
@@ -105,5 +104,11 @@
       }
     },
   });
-  return exchange;
+  return {
+    hasSent: exchange.hasSent,
+    abort: (mustStop) => {
+      buffer.take();
+      exchange.abort(mustStop);
+    },
+  };
 }
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -30,7 +30,7 @@
 export type { OpenUpstreamExchange, UpstreamExchange } from "../adapters/upstream_exchange.ts";
 export { createByteBudget } from "../common/create_byte_budget.ts";
 export type { ByteBudget } from "../common/create_byte_budget.ts";
-export { createByteCollector } from "../common/create_byte_collector.ts";
+export { createBoundedBuffer } from "../common/create_bounded_buffer.ts";
 export { removeHopByHopHeaders } from "../common/remove_hop_by_hop_headers.ts";
 export type {
   CallerLimits,
