Bound what callers send, while it arrives and after it was refused

Callers of a host lost their requests to others that sent large bodies at once: the host counted a body only when it was complete, so those that were still arriving had no common bound. And a request without end was never closed: after a refusal, and at the addresses for readiness, directory and metrics, its bytes were read for as long as they came, which took processor time.

Bodies take their room from a common budget as they arrive, and return it when the response has ended; small chunks are merged. Bytes of chunk heads are bounded as in responses. After a refusal 1 MiB is read, so that the caller gets the response, and then the connection is closed; the three other addresses close it after the response.

--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -12,6 +12,13 @@
   maxEventBytes: 1_048_576,
   /** Total size of the request bodies that this host buffers; requests beyond it are refused. */
   maxBufferedBytes: 32 * 1_048_576,
+  /** Bytes beside a caller's body, in the heads of its chunks, and as many for each of its bytes. */
+  maxFramingBytes: 262_144,
+  framingBytesPerBodyByte: 8,
+  /** Interval between checks of these bytes while a chunked body arrives. */
+  framingCheckMs: 100,
+  /** Bytes of a body that are read after its request was refused. */
+  maxDroppedBytes: 1_048_576,
   /** Unsent bytes above which the connection to a slow caller is closed. */
   maxUnsentBytes: 1_048_576,
   /** Minimum share of the remaining time for the first attempt of a repeatable request. */
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -16,6 +16,7 @@
 import { createEvacuationMover } from "./create_evacuation_mover.ts";
 import { createTimerDelays } from "./create_timer_delays.ts";
 import { createWaitQueue } from "./create_wait_queue.ts";
+import { dropBody } from "./drop_body.ts";
 import { digestForwardedRequest } from "./digest_forwarded_request.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
@@ -75,6 +76,7 @@
 
 const BODY_REFUSALS = {
   tooLarge: "bodyTooLarge",
+  badFraming: "bodyTooLarge",
   tooSlow: "bodyTooSlow",
   overloaded: "noRoomInTime",
 } as const satisfies Record<string, RefusalCode>;
@@ -91,7 +93,7 @@
   const runs = new Set<GenerationRun>();
   const open = new Set<OpenRequest>();
   let running = 0;
-  let bufferedBytes = 0;
+  const bodyBudget = createByteBudget(FORWARDING_LIMITS.maxBufferedBytes);
   let timer: Timer | undefined;
   let tickDueAtMs = Number.POSITIVE_INFINITY;
   let isIdle = false;
@@ -269,7 +271,6 @@
     stream: Readonly<Record<string, number>> = {},
   ) => {
     running--;
-    bufferedBytes -= request.body?.length ?? 0;
     const tookMs = clock.readMonotonicMs() - request.arrivedAtMs;
     const { kind } = request.route;
     metrics.increment("forwarding.answers", 1, { kind, end });
@@ -287,7 +288,6 @@
 
   const forward = async (request: ForwardedRequest) => {
     running++;
-    bufferedBytes += request.body?.length ?? 0;
     if (request.route.kind === "stream") {
       const run = runGeneration(context, {
         request,
@@ -356,9 +356,13 @@
     });
     const entry: OpenRequest = { reply, isForwarded: false };
     open.add(entry);
-    response.once("close", () => open.delete(entry));
+    const account = bodyBudget.open();
+    response.once("close", () => {
+      open.delete(entry);
+      account.close();
+    });
     if (settings === undefined) {
-      incoming.resume();
+      dropBody(incoming);
       refuse(reply, "settingsUnknown");
       return;
     }
@@ -371,14 +375,14 @@
       headerBytes: handover === undefined ? countHeaderBytes(rawHeaders) : 0,
     });
     if (typeof validated === "string") {
-      incoming.resume();
+      dropBody(incoming);
       refuse(reply, validated);
       return;
     }
     const { route, team, requestId } = validated;
     const timeoutMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     if (couldBeCut(route.kind, timeoutMs)) {
-      incoming.resume();
+      dropBody(incoming);
       refuseInDrain(reply);
       return;
     }
@@ -386,14 +390,14 @@
       clock,
       timeoutMs,
       maxBytes: settings.limits.maxBodyBytes,
-      readBufferedBytes: () => bufferedBytes,
+      account,
     });
     if (body.type === "callerLeft" || reply.hasEnded()) {
       return;
     }
     if (body.type !== "complete") {
       // The rest of a slow body may never come, so its connection is closed.
-      response.shouldKeepAlive &&= body.type !== "tooSlow";
+      response.shouldKeepAlive &&= body.type !== "tooSlow" && body.type !== "badFraming";
       refuse(reply, BODY_REFUSALS[body.type]);
       return;
     }
--- a/packages/daemon/src/gateway/create_gateway_listeners.ts
+++ b/packages/daemon/src/gateway/create_gateway_listeners.ts
@@ -34,6 +34,18 @@
   close(): void;
 }
 
+/** Closes the connection of a request after its response if a body, which nothing reads, goes on. */
+function closeAfterResponse(handle: RequestListener): RequestListener {
+  return (request, response) => {
+    response.once("finish", () => {
+      if (!request.complete) {
+        request.socket.destroy();
+      }
+    });
+    handle(request, response);
+  };
+}
+
 /** Creates the listeners, closed. */
 export function createGatewayListeners(options: GatewayListenersOptions): GatewayListeners {
   const { config: { host, listen, shutdown }, clock, answers } = options;
@@ -57,17 +69,21 @@
         await openHttpListener(
           listen.readiness,
           {},
-          (request, response) => answers.answerReadiness(request.url ?? "/", response),
+          closeAfterResponse((request, response) =>
+            answers.answerReadiness(request.url ?? "/", response)
+          ),
         ),
         await openHttpListener(
           listen.directory,
           {},
-          (request, response) => answers.answerDirectory(request.url ?? "/", response),
+          closeAfterResponse((request, response) =>
+            answers.answerDirectory(request.url ?? "/", response)
+          ),
         ),
         await openHttpListener(
           `${host.address}:${listen.metricsPort}`,
           {},
-          (_request, response) => answers.answerMetrics(response),
+          closeAfterResponse((_request, response) => answers.answerMetrics(response)),
         ),
         await openHttpListener(`${host.address}:${listen.peerPort}`, {
           maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
