--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -4,6 +4,7 @@
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { chooseService } from "../routes/mod.ts";
 import type { RequestKind, RouteSettings } from "../routes/mod.ts";
+import { createByteBudget } from "../common/create_byte_budget.ts";
 import type { AcceptedHandover } from "../handover/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
 import type { CallerReply } from "./caller_reply.ts";
@@ -15,6 +16,7 @@
 import { createEvacuationMover } from "./create_evacuation_mover.ts";
 import { createTimerDelays } from "./create_timer_delays.ts";
 import { createWaitQueue } from "./create_wait_queue.ts";
+import { dropBody } from "./drop_body.ts";
 import { digestForwardedRequest } from "./digest_forwarded_request.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
@@ -32,7 +34,7 @@
 
 /** Options of {@link createForwarder}. */
 export interface ForwarderOptions {
-  readonly context: Omit<ForwardingContext, "timerDelays">;
+  readonly context: Omit<ForwardingContext, "timerDelays" | "answerBudget">;
   readonly readSettings: () => RouteSettings | undefined;
   readonly isLeaving: () => boolean;
   /** Whether callers had the time to learn that this host drains. */
@@ -74,6 +76,7 @@
 
 const BODY_REFUSALS = {
   tooLarge: "bodyTooLarge",
+  badFraming: "bodyTooLarge",
   tooSlow: "bodyTooSlow",
   overloaded: "noRoomInTime",
 } as const satisfies Record<string, RefusalCode>;
@@ -84,12 +87,13 @@
   const context: ForwardingContext = {
     ...options.context,
     timerDelays: createTimerDelays(clock),
+    answerBudget: createByteBudget(FORWARDING_LIMITS.maxAnswerBytesTogether),
   };
   const waitQueue = createWaitQueue();
   const runs = new Set<GenerationRun>();
   const open = new Set<OpenRequest>();
   let running = 0;
-  let bufferedBytes = 0;
+  const bodyBudget = createByteBudget(FORWARDING_LIMITS.maxBufferedBytes);
   let timer: Timer | undefined;
   let tickDueAtMs = Number.POSITIVE_INFINITY;
   let isIdle = false;
@@ -267,7 +271,6 @@
     stream: Readonly<Record<string, number>> = {},
   ) => {
     running--;
-    bufferedBytes -= request.body?.length ?? 0;
     const tookMs = clock.readMonotonicMs() - request.arrivedAtMs;
     const { kind } = request.route;
     metrics.increment("forwarding.answers", 1, { kind, end });
@@ -285,7 +288,6 @@
 
   const forward = async (request: ForwardedRequest) => {
     running++;
-    bufferedBytes += request.body?.length ?? 0;
     if (request.route.kind === "stream") {
       const run = runGeneration(context, {
         request,
@@ -354,9 +356,13 @@
     });
     const entry: OpenRequest = { reply, isForwarded: false };
     open.add(entry);
-    response.once("close", () => open.delete(entry));
+    const account = bodyBudget.open();
+    response.once("close", () => {
+      open.delete(entry);
+      account.close();
+    });
     if (settings === undefined) {
-      incoming.resume();
+      dropBody(incoming);
       refuse(reply, "settingsUnknown");
       return;
     }
@@ -369,14 +375,14 @@
       headerBytes: handover === undefined ? countHeaderBytes(rawHeaders) : 0,
     });
     if (typeof validated === "string") {
-      incoming.resume();
+      dropBody(incoming);
       refuse(reply, validated);
       return;
     }
     const { route, team, requestId } = validated;
     const timeoutMs = Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     if (couldBeCut(route.kind, timeoutMs)) {
-      incoming.resume();
+      dropBody(incoming);
       refuseInDrain(reply);
       return;
     }
@@ -384,14 +390,14 @@
       clock,
       timeoutMs,
       maxBytes: settings.limits.maxBodyBytes,
-      readBufferedBytes: () => bufferedBytes,
+      account,
     });
     if (body.type === "callerLeft" || reply.hasEnded()) {
       return;
     }
     if (body.type !== "complete") {
       // The rest of a slow body may never come, so its connection is closed.
-      response.shouldKeepAlive &&= body.type !== "tooSlow";
+      response.shouldKeepAlive &&= body.type !== "tooSlow" && body.type !== "badFraming";
       refuse(reply, BODY_REFUSALS[body.type]);
       return;
     }
