Wait for an engine that cannot be told to stop before a stream is run again

A stream is not run again, nor restored, while its engine lives and cannot be told: it waits for as long as its caller does, then ends. An engine that does not respond is told every 250 ms.

--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -58,7 +58,8 @@
   stopTimeoutMs: 1_000,
   /** Delay before the second such call; it doubles with each further one. */
   stopRetryMs: 50,
-  maxStopRetryMs: 1_000,
+  /** Longest such delay: an engine that can be reached again may run on for 400 ms. */
+  maxStopRetryMs: 250,
   /** Further calls to an engine that knows of no such generation, which it may start late. */
   maxLateStopCalls: 4,
   /** Time for which a probed connection must last, as a reset arrives within a round trip. */
--- a/packages/daemon/src/forwarding/restore_generation.ts
+++ b/packages/daemon/src/forwarding/restore_generation.ts
@@ -82,7 +82,7 @@
     if (run.phase !== "switching") {
       return;
     }
-    if (former?.type === "untold" && !run.request.route.isResumable) {
+    if (former?.type === "untold") {
       endInterrupted(
         context,
         run,
@@ -120,7 +120,7 @@
     }
     const former = await stopFormerEngine(context, run, {
       ...{ left, stream, target: copy.upstream },
-      untoldWaitMs: run.request.route.isResumable ? 0 : FORWARDING_LIMITS.untoldWaitMs,
+      untoldWaitMs: FORWARDING_LIMITS.untoldWaitMs,
     });
     if (former.type === "stopped" && former.copiedTo !== undefined) {
       copied = { upstream: former.copiedTo, cache: former.cache };
--- a/packages/daemon/src/forwarding/run_generation.ts
+++ b/packages/daemon/src/forwarding/run_generation.ts
@@ -238,14 +238,22 @@
     recordRerunEnd("runAgain");
     rerun = { cause, reason, former: upstreamId };
     run.phase = "switching";
-    prepareRerun(cause).then(() => {
-      if (run.phase === "switching") {
+    prepareRerun(cause).then((obstacle) => {
+      if (run.phase !== "switching") {
+        return;
+      }
+      if (obstacle === undefined) {
         startOrQueue();
+      } else {
+        endInterrupted(context, run, `${reason}; ${obstacle}`);
       }
     }).catch(options.reportFault);
   };
-  /** Waits for what has to be known of the former run before there may be another one. */
-  const prepareRerun = async (cause: RerunCause) => {
+  /**
+   * Waits for what has to be known of the former run before there may be another one; resolves to
+   * the reason if there may be none.
+   */
+  const prepareRerun = async (cause: RerunCause): Promise<string | undefined> => {
     const { lossRecorded, executedAttempts, upstream } = run;
     if (upstream !== undefined && run.stream !== undefined && !ENDED_CAUSES.has(cause)) {
       const nowMs = context.clock.readMonotonicMs();
@@ -254,13 +262,19 @@
         stream: run.stream,
         target: listLeft(nowMs)[0] ?? upstream,
         mayStartLate: cause === "lostResponse",
+        // The connection of a draining engine is sound, so that its close stops the former run.
+        untoldWaitMs: cause === "draining" ? 0 : computeWaitEnd() - nowMs,
       });
       dropKeptCache(context, run, former.type === "stopped" ? former.cache : undefined);
+      if (former.type === "untold" && cause !== "draining") {
+        return `its engine may run on and cannot be told to stop: ${former.reason}`;
+      }
     }
     // The quarantine may hold the request back now; each further run could cost an engine.
     if (executedAttempts >= MIN_LOSSES_OF_QUARANTINE) {
       await lossRecorded;
     }
+    return undefined;
   };
   const recordRerunEnd = (end: string) => {
     if (rerun !== undefined) {
--- a/packages/daemon/src/forwarding/stop_former_engine.ts
+++ b/packages/daemon/src/forwarding/stop_former_engine.ts
@@ -90,7 +90,8 @@
   options: CallOptions,
 ): Promise<void> {
   const { left, calls, settle } = options;
-  const isOver = () => isStopOver(context, run, options);
+  const isGone = () => isEngineGone(context, left);
+  const isOver = () => isGone() || isStopOver(context, run, options);
   let delayMs: number = FORWARDING_LIMITS.stopRetryMs;
   let lateCalls = options.mayStartLate === true ? FORWARDING_LIMITS.maxLateStopCalls : 0;
   for (let failures = 0; !(failures > 0 && isOver());) {
@@ -120,22 +121,31 @@
     await waitFor(context.clock, delayMs);
     delayMs = Math.min(delayMs * 2, FORWARDING_LIMITS.maxStopRetryMs);
   }
+  if (calls.latest.type === "untold" && isGone()) {
+    calls.latest = { type: "unreachable", reason: "it has ended" };
+  }
   settle();
 }
 
-/** Whether the engine need not be told again: the generation has come back, or cannot run there. */
+function isEngineGone(
+  { upstreams }: Pick<ForwardingContext, "upstreams">,
+  left: Upstream,
+): boolean {
+  const known = upstreams.upstreams.get(left.record.id);
+  return known === undefined || known.status === "gone" ||
+    !isSameIncarnation(known.record, left.record);
+}
+
+/** Whether the engine need not be told again: the generation has come back, or its time is over. */
 function isStopOver(
-  { upstreams, clock }: Pick<ForwardingContext, "upstreams" | "clock">,
+  { clock }: Pick<ForwardingContext, "clock">,
   run: GenerationRun,
   { left, stream }: StopOptions,
 ): boolean {
-  const known = upstreams.upstreams.get(left.record.id);
-  const isGone = known === undefined || known.status === "gone" ||
-    !isSameIncarnation(known.record, left.record);
   const hasReturned = run.resumingAt?.record.id === left.record.id ||
     (run.phase === "running" && run.upstream?.record.id === left.record.id &&
       run.stream !== stream);
-  return isGone || hasReturned || clock.readMonotonicMs() >= run.request.deadlineAtMs;
+  return hasReturned || clock.readMonotonicMs() >= run.request.deadlineAtMs;
 }
 
 interface CallOnceOptions extends StopOptions {
