--- a/scripts/src/run_tests.ts
+++ b/scripts/src/run_tests.ts
@@ -12,7 +12,10 @@
 const knownFailingTitles = readKnownFailingTitles("KNOWN-RED.txt");
 const mocha = new Mocha({ timeout: 60_000, reporter: "dot", forbidOnly: true });
 for (
-  const file of listTestFiles(["packages", "platform", "bench", "scripts"], process.argv.slice(2))
+  const file of listTestFiles(
+    ["packages", "platform", "bench", "scripts", "playground"],
+    process.argv.slice(2),
+  )
 ) {
   mocha.addFile(file);
 }
