Serve requests whose Host or ids follow more than 1,000 header lines

Callers saw 400 for a request inside the published limits whose Host header, id or key came behind 1,000 short lines. Cause: Node.js keeps the first 1,000 lines of a head, in `headers` and in `rawHeaders` (the lines behind them were not forwarded either), and checks Host in what it kept. Now a listener keeps all lines of a head, whose size is limited, and every reader (Host, framing of bodies, handover) takes its value from `rawHeaders`.

--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -4,6 +4,7 @@
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { chooseService } from "../routes/mod.ts";
 import type { RequestKind, RouteSettings } from "../routes/mod.ts";
+import { findHeader } from "../common/find_header.ts";
 import { createByteBudget } from "../common/create_byte_budget.ts";
 import type { AcceptedHandover } from "../handover/mod.ts";
 import type { Upstream } from "../upstreams/mod.ts";
@@ -370,7 +371,7 @@
     const validated = checkRequest(settings, {
       ...head,
       target,
-      hostName: incoming.headers.host,
+      hostName: findHeader(rawHeaders, "host"),
       // The host that received the request has checked the size of its headers.
       headerBytes: handover === undefined ? countHeaderBytes(rawHeaders) : 0,
     });
--- a/packages/daemon/src/forwarding/find_body_framing.ts
+++ b/packages/daemon/src/forwarding/find_body_framing.ts
@@ -1,6 +1,6 @@
 import type { BodyFraming } from "./body_framing.ts";
 
-/** Finds how a response with these headers, names and values alternating, frames its body. */
+/** Finds how a message with these headers, names and values alternating, frames its body. */
 export function findBodyFraming(rawHeaders: readonly string[]): BodyFraming {
   const names = new Set(
     rawHeaders.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase()),
--- a/packages/daemon/src/forwarding/read_body.ts
+++ b/packages/daemon/src/forwarding/read_body.ts
@@ -3,6 +3,7 @@
 import type { ByteAccount } from "../common/create_byte_budget.ts";
 import { createByteCollector } from "../common/create_byte_collector.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
+import { findBodyFraming } from "./find_body_framing.ts";
 import { dropBody } from "./drop_body.ts";
 
 /** A complete request body, or the reason why there is none. */
@@ -25,7 +26,8 @@
   return new Promise((resolve) => {
     const body = createByteCollector();
     const startBytes = incoming.socket.bytesRead;
-    const isChunked = incoming.headers["transfer-encoding"] !== undefined;
+    const framing = findBodyFraming(incoming.rawHeaders);
+    const isChunked = framing === "chunks";
     let framingTimer: Timer | undefined;
     let isSettled = false;
     const settle = (result: BodyResult) => {
@@ -75,8 +77,7 @@
     }
     incoming.on("data", receive);
     incoming.once("end", () => {
-      const hasBody = body.size > 0 || isChunked ||
-        incoming.headers["content-length"] !== undefined;
+      const hasBody = body.size > 0 || framing !== "connection";
       settle({ type: "complete", bytes: hasBody ? body.read() : undefined });
     });
     incoming.once("error", () => settle({ type: "callerLeft" }));
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -31,6 +31,7 @@
 export { createByteBudget } from "../common/create_byte_budget.ts";
 export type { ByteBudget } from "../common/create_byte_budget.ts";
 export { createBoundedBuffer } from "../common/create_bounded_buffer.ts";
+export { findHeader } from "../common/find_header.ts";
 export { removeHopByHopHeaders } from "../common/remove_hop_by_hop_headers.ts";
 export type {
   CallerLimits,
--- a/packages/daemon/src/gateway/open_http_listener.ts
+++ b/packages/daemon/src/gateway/open_http_listener.ts
@@ -9,7 +9,10 @@
   handle: RequestListener,
 ): Promise<Server> {
   const { host, port } = splitAddress(address);
-  const server = createServer(options, handle);
+  // Without a Host header a request is refused by its handler: the check of the server itself reads
+  // a limited number of header lines.
+  const server = createServer({ requireHostHeader: false, ...options }, handle);
+  server.maxHeadersCount = 0; // their size is limited
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, () => {
--- a/packages/daemon/src/handover/accept_handover.ts
+++ b/packages/daemon/src/handover/accept_handover.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { findHeader } from "../common/find_header.ts";
 import { signText } from "../common/sign_text.ts";
 import { decodeHandover } from "./decode_handover.ts";
 import type { HandoverFields } from "./handover_fields.ts";
@@ -16,12 +17,12 @@
 /** Checks that a host of the fleet has sent a request; undefined if not. */
 export function acceptHandover(
   key: string,
-  incoming: Pick<IncomingMessage, "headers" | "rawHeaders" | "method" | "url">,
+  incoming: Pick<IncomingMessage, "rawHeaders" | "method" | "url">,
   requestId: string,
 ): AcceptedHandover | undefined {
   const request = { requestId, method: incoming.method ?? "GET", target: incoming.url ?? "/" };
-  const header = incoming.headers[HANDOVER_HEADERS.request];
-  const fields = typeof header === "string" ? decodeHandover(key, request, header) : undefined;
+  const header = findHeader(incoming.rawHeaders, HANDOVER_HEADERS.request);
+  const fields = header !== undefined ? decodeHandover(key, request, header) : undefined;
   if (fields === undefined) {
     return undefined;
   }
