Bound the connections of a process, and close the ones that do least

Callers got no answer while other clients held all descriptors of a host, by idle connections or unfinished heads at any of its addresses: a connection to the store or an upstream, and a caller's own, found none. No listener bounded its connections. Now each has a limit, all together two thirds of the process's descriptors (the platform names them in its settings). A connection beyond it closes one that has sent no request for longest, then one whose body has been arriving for longest, then the one that has been idle for longest; requests that are being handled stay. Closed ones are counted (connections.closed) and logged once a second at most (8067).

--- /dev/null
+++ b/packages/daemon/src/connections/constants.ts
@@ -0,0 +1,17 @@
+/** Limits of the connections that a process accepts. Times are in milliseconds. */
+export const CONNECTION_LIMITS = {
+  /** Open connections at each listener, on a host with enough descriptors. */
+  maxConnections: {
+    callers: 1_024,
+    hosts: 512,
+    directory: 128,
+    readiness: 32,
+    metrics: 32,
+  },
+  /** Share of the descriptors for them; the rest is for files and the host's own connections. */
+  descriptorShare: 2 / 3,
+  /** Time for which a body may arrive before its connection is closed in favour of another one. */
+  bodyPatienceMs: 1_000,
+  /** Interval between log lines on closed connections. */
+  reportIntervalMs: 1_000,
+} as const;
--- /dev/null
+++ b/packages/daemon/src/connections/guarded_connection.ts
@@ -0,0 +1,13 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** A connection to a listener, and what it holds. */
+export interface GuardedConnection {
+  readonly socket: Socket;
+  /** Monotonic time at which it was accepted, or its last request began or ended. */
+  activeAtMs: number;
+  /** Whether a request has begun on it. */
+  hasBegun: boolean;
+  /** Requests whose response has not been sent completely, oldest first. */
+  readonly open: Map<ServerResponse, IncomingMessage>;
+}
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -1,6 +1,7 @@
 import type { Timer } from "@crocussail/protocol";
 import { computeLocalLoads, createLoadState } from "../balancing/mod.ts";
 import { createBrittleUpstreams } from "../brittle_upstreams/mod.ts";
+import { createConnectionGuard } from "../connections/mod.ts";
 import {
   chooseAddresses,
   createFleetHosts,
@@ -384,10 +385,17 @@
       received[1].destroy();
     });
   };
+  const guard = createConnectionGuard({
+    clock,
+    logger,
+    metrics,
+    descriptors: config.host.fileDescriptors,
+  });
   const listeners = createGatewayListeners({
     config,
     clock,
     answers,
+    guard,
     handleRequest: (request, response) => forward(request, response),
     handleHandover: (request, response) => {
       const { requestId = "" } = dialect.decodeRequest(request.rawHeaders);
--- a/packages/daemon/src/gateway/create_gateway_listeners.ts
+++ b/packages/daemon/src/gateway/create_gateway_listeners.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@crocussail/protocol";
-import type { RequestListener, Server } from "node:http";
+import type { RequestListener, Server, ServerOptions } from "node:http";
 import type { Socket } from "node:net";
+import type { ConnectionGuard, ListenerName } from "../connections/mod.ts";
 import type { CallerLimits } from "../routes/mod.ts";
 import { computeDrainTime } from "./compute_drain_time.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
@@ -14,6 +15,7 @@
   readonly config: Pick<GatewayConfig, "host" | "listen" | "shutdown">;
   readonly clock: Clock;
   readonly answers: GatewayAnswers;
+  readonly guard: ConnectionGuard;
   readonly handleRequest: RequestListener;
   /** Receives the requests that other hosts hand over. */
   readonly handleHandover: RequestListener;
@@ -65,38 +67,47 @@
   return {
     // Requests are accepted last: the process ends if any address cannot be opened.
     open: async () => {
+      const { answerReadiness, answerDirectory, answerMetrics } = answers;
+      const open = (
+        name: ListenerName,
+        address: string,
+        handle: RequestListener,
+        server: ServerOptions = {},
+      ) => openHttpListener({ address, name, guard: options.guard, server, handle });
+      const openSmall = (name: ListenerName, address: string, handle: RequestListener) =>
+        open(name, address, closeAfterResponse(handle));
+      const forwarding = {
+        maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
+        requestTimeout: 0, // reading a slow body is bounded by the request's own timeout
+        noDelay: true,
+      };
       listeners.push(
-        await openHttpListener(
+        await openSmall(
+          "readiness",
           listen.readiness,
-          {},
-          closeAfterResponse((request, response) =>
-            answers.answerReadiness(request.url ?? "/", response)
-          ),
+          (request, response) => answerReadiness(request.url ?? "/", response),
         ),
-        await openHttpListener(
+        await openSmall(
+          "directory",
           listen.directory,
-          {},
-          closeAfterResponse((request, response) =>
-            answers.answerDirectory(request.url ?? "/", response)
-          ),
+          (request, response) => answerDirectory(request.url ?? "/", response),
         ),
-        await openHttpListener(
+        await openSmall(
+          "metrics",
           `${host.address}:${listen.metricsPort}`,
-          {},
-          closeAfterResponse((_request, response) => answers.answerMetrics(response)),
+          (_request, response) => answerMetrics(response),
+        ),
+        await open(
+          "hosts",
+          `${host.address}:${listen.peerPort}`,
+          options.handleHandover,
+          forwarding,
         ),
-        await openHttpListener(`${host.address}:${listen.peerPort}`, {
-          maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
-          requestTimeout: 0, // reading a slow body is bounded by the request's own timeout
-          noDelay: true,
-        }, options.handleHandover),
       );
-      callers = await openHttpListener(listen.callers, {
-        maxHeaderSize: GATEWAY_LIMITS.maxParsedHeaderBytes,
-        requestTimeout: 0, // reading a slow body is bounded by the request's own timeout
+      callers = await open("callers", listen.callers, options.handleRequest, {
+        ...forwarding,
         connectionsCheckingInterval: GATEWAY_LIMITS.connectionCheckMs,
-        noDelay: true,
-      }, options.handleRequest);
+      });
       callers.on("connection", (socket) => {
         connections.add(socket);
         socket.once("close", () => connections.delete(socket));
--- a/packages/daemon/src/gateway/gateway_config_schema.ts
+++ b/packages/daemon/src/gateway/gateway_config_schema.ts
@@ -17,6 +17,10 @@
 const numberSchema = z.string().regex(/\S/, "expected a number").transform(Number);
 const portSchema = numberSchema.pipe(z.number().int().min(1).max(65535));
 const positiveSchema = numberSchema.pipe(z.number().positive());
+/** A positive number; the default also stands for an empty value. */
+const optionalPositiveSchema = (byDefault: number) =>
+  z.string().prefault("").transform((text) => text.trim() === "" ? byDefault : Number(text))
+    .pipe(z.number().positive());
 const nonNegativeSchema = numberSchema.pipe(z.number().min(0));
 
 /** Configuration file of a gateway: one object for each INI section. */
@@ -30,6 +34,8 @@
     size: positiveSchema.prefault("1"),
     /** Speed of its processor relative to other hosts; multiplies the size. */
     speed: positiveSchema.prefault("1"),
+    /** Descriptors that its process may open. */
+    fileDescriptors: optionalPositiveSchema(4_096),
   }),
   listen: z.strictObject({
     /** Receives callers' requests. */
--- a/packages/protocol/src/events/forwarding_events.ts
+++ b/packages/protocol/src/events/forwarding_events.ts
@@ -313,6 +313,13 @@
     title: "This host no longer grants the permits of an upstream that was cold",
     action: "none; refused counts the requests that went elsewhere or were told to return",
   },
+  connectionsClosed: {
+    number: 8067,
+    level: "warn",
+    title: "Connections that exceeded a limit of this host were closed; counted for a second",
+    action:
+      "Look for clients that open too many connections, or send or read too little or too much",
+  },
   readerChanged: {
     number: 8052,
     level: "info",
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -241,6 +241,12 @@
     unit: "version",
     meaning: "Version of the active published settings",
   },
+  "connections.closed": {
+    type: "counter",
+    unit: "connections",
+    meaning:
+      "Connections closed because of a limit, by tag `listener` and tag `reason`: connections",
+  },
   "forwarding.faults": {
     type: "counter",
     unit: "errors",
