Bound the requests that connections send ahead

A host ran out of memory, at the addresses for callers, other hosts and metrics, when connections sent many requests ahead and read no response; a stop at that moment never ended. The parser hands over all requests of one read (64 kB, some 3,500 of them), each with its own objects, and nothing bounded those whose response had not been sent. Now a connection may have 16 such requests (8 at the directory, 4 at readiness and metrics) and all connections together 128 beyond the first of each; a connection that exceeds it is closed, which promises nothing. A read is parsed in parts of 4 kB, so that what follows an excessive request is not parsed and takes no time from other connections.

--- a/packages/daemon/src/connections/constants.ts
+++ b/packages/daemon/src/connections/constants.ts
@@ -12,6 +12,15 @@
   descriptorShare: 2 / 3,
   /** Time for which a body may arrive before its connection is closed in favour of another one. */
   bodyPatienceMs: 1_000,
+  /**
+   * Requests on one connection whose response has not been sent completely. Sound clients wait for
+   * each response before they send the next request.
+   */
+  maxOpenRequests: { callers: 16, hosts: 16, directory: 8, readiness: 4, metrics: 4 },
+  /** Such requests of all connections together, without the first of each connection. */
+  maxRequestsAhead: 128,
+  /** Bytes that are parsed at once, so that what follows an excessive request is not parsed. */
+  parsedBytes: 4_096,
   /** Interval between log lines on closed connections. */
   reportIntervalMs: 1_000,
 } as const;
--- a/packages/daemon/src/connections/create_connection_guard.ts
+++ b/packages/daemon/src/connections/create_connection_guard.ts
@@ -4,7 +4,9 @@
 import { computeMaxConnections } from "./compute_max_connections.ts";
 import { createCloseReports } from "./create_close_reports.ts";
 import type { CloseReason } from "./create_close_reports.ts";
+import { CONNECTION_LIMITS } from "./constants.ts";
 import { findExpendableConnection } from "./find_expendable_connection.ts";
+import { splitReads } from "./split_reads.ts";
 import type { GuardedConnection } from "./guarded_connection.ts";
 import type { ListenerName } from "./listener_name.ts";
 
@@ -22,7 +24,7 @@
   /** Watches the connections of a server that does not listen yet. */
   watch(server: Server, name: ListenerName): void;
   /** Wraps the handler of a server's requests. */
-  guardRequests(handle: RequestListener): RequestListener;
+  guardRequests(name: ListenerName, handle: RequestListener): RequestListener;
 }
 
 /** Creates the guard, without connections. */
@@ -30,6 +32,7 @@
   const { clock } = options;
   const reports = createCloseReports(options);
   const connections = new Map<Socket, GuardedConnection>();
+  let requestsAhead = 0;
 
   const close = (connection: GuardedConnection, name: ListenerName, reason: CloseReason) => {
     reports.recordClosed(name, reason);
@@ -46,6 +49,9 @@
     socket.once("close", () => connections.delete(socket));
     return connection;
   };
+  const hasTooManyRequests = ({ open }: GuardedConnection, name: ListenerName) =>
+    open.size >= CONNECTION_LIMITS.maxOpenRequests[name] ||
+    (open.size > 0 && requestsAhead >= CONNECTION_LIMITS.maxRequestsAhead);
 
   return {
     watch: (server, name) => {
@@ -53,6 +59,7 @@
       const own = new Set<GuardedConnection>();
       server.on("connection", (socket) => {
         const connection = accept(socket);
+        splitReads(socket);
         if (own.size >= maxConnections) {
           const expendable = findExpendableConnection(own, clock.readMonotonicMs()) ?? connection;
           own.delete(expendable); // its socket closes later
@@ -64,15 +71,22 @@
         }
       });
     },
-    guardRequests: (handle) => (request, response) => {
+    guardRequests: (name, handle) => (request, response) => {
       const connection = connections.get(request.socket);
       if (connection === undefined || request.socket.destroyed) {
         return; // a request that was parsed with one for which the connection was closed
       }
+      if (hasTooManyRequests(connection, name)) {
+        close(connection, name, "requests");
+        return;
+      }
+      const isAhead = connection.open.size > 0;
+      requestsAhead += Number(isAhead);
       connection.hasBegun = true;
       connection.activeAtMs = clock.readMonotonicMs();
       connection.open.set(response, request);
       response.once("close", () => {
+        requestsAhead -= Number(isAhead);
         connection.open.delete(response);
         connection.activeAtMs = clock.readMonotonicMs();
       });
