End requests that wait for their turn on a connection when it closes

A generation behind another response on the same connection ran on at its engine after its caller had left, and its entry stayed in the process for good. The HTTP server closes the response that is being written and none that waits behind it, so nothing told the request that its caller was gone. Now the guard closes those too.

queued_requests_test failed before (three generations, none stopped but the first) and passes.

--- a/packages/daemon/src/connections/create_connection_guard.ts
+++ b/packages/daemon/src/connections/create_connection_guard.ts
@@ -4,6 +4,7 @@
 import { computeMaxConnections } from "./compute_max_connections.ts";
 import { createCloseReports } from "./create_close_reports.ts";
 import type { CloseReason } from "./create_close_reports.ts";
+import { closeQueuedResponses } from "./close_queued_responses.ts";
 import { CONNECTION_LIMITS } from "./constants.ts";
 import { findExpendableConnection } from "./find_expendable_connection.ts";
 import { splitReads } from "./split_reads.ts";
@@ -46,7 +47,10 @@
       open: new Map(),
     };
     connections.set(socket, connection);
-    socket.once("close", () => connections.delete(socket));
+    socket.once("close", () => {
+      connections.delete(socket);
+      closeQueuedResponses(connection.open.keys());
+    });
     return connection;
   };
   const hasTooManyRequests = ({ open }: GuardedConnection, name: ListenerName) =>
