Bound the heads that arrive or are kept on all connections together

Short header lines take up to twelve times their size as objects. 1,500 heads of 60 kB without an end, or as many requests of 15.5 kB whose body never ends, ended a host or took it beyond its memory. Nothing counted a head before it was complete, and a request that waited for its body kept its lines as a dictionary and as a list, uncounted. Now the heads that are arriving on all connections have 768 KiB together: the connections with the largest ones are closed, and large ones at once while closed ones have not been released, which happens after all reads of a turn. Lines that a request keeps count towards the budget of bodies with the memory that they take; the request is refused with 503 beyond it. The request object lets go of its lines once its handler has read them.

--- a/packages/daemon/src/connections/constants.ts
+++ b/packages/daemon/src/connections/constants.ts
@@ -21,6 +21,13 @@
   maxRequestsAhead: 128,
   /** Bytes that are parsed at once, so that what follows an excessive request is not parsed. */
   parsedBytes: 4_096,
+  /**
+   * Bytes of the heads, and of the trailers, that are arriving on all connections together. Parsed
+   * into short lines they take twelve times as much memory.
+   */
+  maxHeadBytes: 786_432,
+  /** Bytes of a head that is never closed in favour of others. */
+  ordinaryHeadBytes: 1_024,
   /** Interval between log lines on closed connections. */
   reportIntervalMs: 1_000,
 } as const;
--- a/packages/daemon/src/connections/create_connection_guard.ts
+++ b/packages/daemon/src/connections/create_connection_guard.ts
@@ -1,15 +1,17 @@
 import type { Clock, Logger, Metrics } from "@crocussail/protocol";
-import type { RequestListener, Server } from "node:http";
+import type { IncomingMessage, RequestListener, Server } from "node:http";
 import type { Socket } from "node:net";
+import { closeQueuedResponses } from "./close_queued_responses.ts";
 import { computeMaxConnections } from "./compute_max_connections.ts";
+import { CONNECTION_LIMITS } from "./constants.ts";
 import { createCloseReports } from "./create_close_reports.ts";
 import type { CloseReason } from "./create_close_reports.ts";
-import { closeQueuedResponses } from "./close_queued_responses.ts";
-import { CONNECTION_LIMITS } from "./constants.ts";
+import { createHeadMeter } from "./create_head_meter.ts";
 import { findExpendableConnection } from "./find_expendable_connection.ts";
-import { splitReads } from "./split_reads.ts";
 import type { GuardedConnection } from "./guarded_connection.ts";
 import type { ListenerName } from "./listener_name.ts";
+import { measureRequest } from "./measure_request.ts";
+import { splitReads } from "./split_reads.ts";
 
 /** Options of {@link createConnectionGuard}. */
 export interface ConnectionGuardOptions {
@@ -24,8 +26,8 @@
 export interface ConnectionGuard {
   /** Watches the connections of a server that does not listen yet. */
   watch(server: Server, name: ListenerName): void;
-  /** Wraps the handler of a server's requests. */
-  guardRequests(name: ListenerName, handle: RequestListener): RequestListener;
+  /** Wraps the handler of a server's requests, which reads the headers before it returns. */
+  guardRequests(handle: RequestListener): RequestListener;
 }
 
 /** Creates the guard, without connections. */
@@ -34,27 +36,74 @@
   const reports = createCloseReports(options);
   const connections = new Map<Socket, GuardedConnection>();
   let requestsAhead = 0;
+  /** Bytes of all heads that are arriving, and of those whose connections are being closed. */
+  let headBytes = 0;
+  let closingHeadBytes = 0;
 
-  const close = (connection: GuardedConnection, name: ListenerName, reason: CloseReason) => {
-    reports.recordClosed(name, reason);
+  const close = (connection: GuardedConnection, reason: CloseReason) => {
+    reports.recordClosed(connection.listener, reason);
     connection.socket.destroy();
   };
-  const accept = (socket: Socket): GuardedConnection => {
+  const changeHead = (connection: GuardedConnection, change: () => void) => {
+    const before = connection.head.bytes;
+    change();
+    headBytes += connection.head.bytes - before;
+  };
+  const closeHead = (connection: GuardedConnection) => {
+    connections.delete(connection.socket);
+    headBytes -= connection.head.bytes;
+    closingHeadBytes += connection.head.bytes;
+    connection.socket.once("close", () => {
+      closingHeadBytes -= connection.head.bytes;
+    });
+    close(connection, "heads");
+  };
+  /**
+   * Closes the connections with the largest heads while all together are too large, and the current
+   * one while the memory of those before it has not been released.
+   */
+  const limitHeads = (current: GuardedConnection) => {
+    const { maxHeadBytes, ordinaryHeadBytes } = CONNECTION_LIMITS;
+    if (closingHeadBytes > maxHeadBytes && current.head.bytes > ordinaryHeadBytes) {
+      closeHead(current);
+    }
+    while (headBytes > maxHeadBytes) {
+      closeHead(
+        [...connections.values()].reduce((known, other) =>
+          other.head.bytes > known.head.bytes ? other : known
+        ),
+      );
+    }
+  };
+  const accept = (socket: Socket, listener: ListenerName): GuardedConnection => {
     const connection: GuardedConnection = {
       socket,
+      listener,
+      head: createHeadMeter(),
       activeAtMs: clock.readMonotonicMs(),
       hasBegun: false,
       open: new Map(),
     };
     connections.set(socket, connection);
     socket.once("close", () => {
-      connections.delete(socket);
+      headBytes -= connections.delete(socket) ? connection.head.bytes : 0;
       closeQueuedResponses(connection.open.keys());
     });
+    splitReads(socket, (bytes) => {
+      changeHead(connection, () => connection.head.receive(bytes));
+      limitHeads(connection);
+    });
     return connection;
   };
-  const hasTooManyRequests = ({ open }: GuardedConnection, name: ListenerName) =>
-    open.size >= CONNECTION_LIMITS.maxOpenRequests[name] ||
+  const recordHead = (connection: GuardedConnection, request: IncomingMessage) => {
+    const size = measureRequest(request);
+    changeHead(connection, () => connection.head.recordHead(size.headBytes, size.bodyBytes));
+    if (size.bodyBytes === undefined) {
+      request.on("data", () => changeHead(connection, connection.head.recordChunk));
+    }
+  };
+  const hasTooManyRequests = ({ open, listener }: GuardedConnection) =>
+    open.size >= CONNECTION_LIMITS.maxOpenRequests[listener] ||
     (open.size > 0 && requestsAhead >= CONNECTION_LIMITS.maxRequestsAhead);
 
   return {
@@ -62,12 +111,11 @@
       const maxConnections = computeMaxConnections(name, options.descriptors);
       const own = new Set<GuardedConnection>();
       server.on("connection", (socket) => {
-        const connection = accept(socket);
-        splitReads(socket);
+        const connection = accept(socket, name);
         if (own.size >= maxConnections) {
           const expendable = findExpendableConnection(own, clock.readMonotonicMs()) ?? connection;
           own.delete(expendable); // its socket closes later
-          close(expendable, name, "connections");
+          close(expendable, "connections");
         }
         if (!socket.destroyed) {
           own.add(connection);
@@ -75,13 +123,14 @@
         }
       });
     },
-    guardRequests: (name, handle) => (request, response) => {
+    guardRequests: (handle) => (request, response) => {
       const connection = connections.get(request.socket);
       if (connection === undefined || request.socket.destroyed) {
         return; // a request that was parsed with one for which the connection was closed
       }
-      if (hasTooManyRequests(connection, name)) {
-        close(connection, name, "requests");
+      recordHead(connection, request);
+      if (hasTooManyRequests(connection)) {
+        close(connection, "requests");
         return;
       }
       const isAhead = connection.open.size > 0;
@@ -95,6 +144,9 @@
         connection.activeAtMs = clock.readMonotonicMs();
       });
       handle(request, response);
+      // The request lives as long as its connection waits for the rest of a body.
+      request.rawHeaders = [];
+      request.headers = {};
     },
   };
 }
--- a/packages/daemon/src/connections/find_expendable_connection_test.ts
+++ b/packages/daemon/src/connections/find_expendable_connection_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { createHeadMeter } from "./create_head_meter.ts";
 import { findExpendableConnection } from "./find_expendable_connection.ts";
 import type { GuardedConnection } from "./guarded_connection.ts";
 
@@ -11,6 +12,8 @@
     requests: readonly ("complete" | "arriving")[] | undefined,
   ): GuardedConnection => ({
     socket: {} as Socket,
+    listener: "callers",
+    head: createHeadMeter(),
     activeAtMs,
     hasBegun: requests !== undefined,
     open: new Map(
--- a/packages/daemon/src/connections/guarded_connection.ts
+++ b/packages/daemon/src/connections/guarded_connection.ts
@@ -1,9 +1,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { HeadMeter } from "./create_head_meter.ts";
+import type { ListenerName } from "./listener_name.ts";
 
 /** A connection to a listener, and what it holds. */
 export interface GuardedConnection {
   readonly socket: Socket;
+  readonly listener: ListenerName;
+  /** What its parser holds of a head that is arriving. */
+  readonly head: HeadMeter;
   /** Monotonic time at which it was accepted, or its last request began or ended. */
   activeAtMs: number;
   /** Whether a request has begun on it. */
--- a/packages/daemon/src/connections/split_reads.ts
+++ b/packages/daemon/src/connections/split_reads.ts
@@ -3,9 +3,9 @@
 
 /**
  * Has the bytes of a server's connection parsed in small parts. What was read of a connection that
- * is closed or paused meanwhile is not parsed, or later.
+ * is closed or paused meanwhile is not parsed, or later. `recordPart` is called before each part.
  */
-export function splitReads(socket: Socket): void {
+export function splitReads(socket: Socket, recordPart: (bytes: number) => void): void {
   const [parse, ...others] = socket.listeners("data") as ((bytes: Buffer) => void)[];
   if (parse === undefined || others.length > 0) {
     throw new Error("the HTTP server does not read its connections through one listener");
@@ -20,7 +20,12 @@
         socket.unshift(bytes.subarray(start));
         return;
       }
-      parse(bytes.subarray(start, start + CONNECTION_LIMITS.parsedBytes));
+      const part = bytes.subarray(start, start + CONNECTION_LIMITS.parsedBytes);
+      recordPart(part.length);
+      if (socket.destroyed) {
+        return;
+      }
+      parse(part);
     }
   });
 }
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -10,6 +10,7 @@
 import type { Upstream } from "../upstreams/mod.ts";
 import type { CallerReply } from "./caller_reply.ts";
 import { checkRequest } from "./check_request.ts";
+import { computeHeaderMemory } from "./compute_header_memory.ts";
 import { computeRetryAfter } from "./compute_retry_after.ts";
 import { computeServiceRetryAfter } from "./compute_service_retry_after.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
@@ -18,6 +19,7 @@
 import { createTimerDelays } from "./create_timer_delays.ts";
 import { createWaitQueue } from "./create_wait_queue.ts";
 import { dropBody } from "./drop_body.ts";
+import { findBodyFraming } from "./find_body_framing.ts";
 import { digestForwardedRequest } from "./digest_forwarded_request.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
@@ -334,6 +336,8 @@
     const settings = options.readSettings();
     const rawHeaders = handover?.rawHeaders ?? incoming.rawHeaders;
     const head = context.dialect.decodeRequest(rawHeaders);
+    const framing = findBodyFraming(rawHeaders);
+    const hostName = findHeader(rawHeaders, "host");
     if (handover !== undefined) {
       logger.writeEvent("handoverAccepted", {
         request: head.requestId ?? "none",
@@ -371,7 +375,7 @@
     const validated = checkRequest(settings, {
       ...head,
       target,
-      hostName: findHeader(rawHeaders, "host"),
+      hostName,
       // The host that received the request has checked the size of its headers.
       headerBytes: handover === undefined ? countHeaderBytes(rawHeaders) : 0,
     });
@@ -387,8 +391,15 @@
       refuseInDrain(reply);
       return;
     }
+    if (!account.add(computeHeaderMemory(rawHeaders))) {
+      dropBody(incoming);
+      response.shouldKeepAlive = false;
+      refuse(reply, "noRoomInTime");
+      return;
+    }
     const body = await readBody(incoming, {
       clock,
+      framing,
       timeoutMs,
       maxBytes: settings.limits.maxBodyBytes,
       account,
--- a/packages/daemon/src/forwarding/read_body.ts
+++ b/packages/daemon/src/forwarding/read_body.ts
@@ -2,8 +2,8 @@
 import type { IncomingMessage } from "node:http";
 import type { ByteAccount } from "../common/create_byte_budget.ts";
 import { createByteCollector } from "../common/create_byte_collector.ts";
+import type { BodyFraming } from "./body_framing.ts";
 import { FORWARDING_LIMITS } from "./constants.ts";
-import { findBodyFraming } from "./find_body_framing.ts";
 import { dropBody } from "./drop_body.ts";
 
 /** A complete request body, or the reason why there is none. */
@@ -14,6 +14,8 @@
 /** Options of {@link readBody}. */
 export interface BodyOptions {
   readonly clock: Clock;
+  /** How its headers frame it; `connection` if there is none. */
+  readonly framing: BodyFraming;
   /** Time for the whole body, in milliseconds. */
   readonly timeoutMs: number;
   readonly maxBytes: number;
@@ -26,8 +28,7 @@
   return new Promise((resolve) => {
     const body = createByteCollector();
     const startBytes = incoming.socket.bytesRead;
-    const framing = findBodyFraming(incoming.rawHeaders);
-    const isChunked = framing === "chunks";
+    const isChunked = options.framing === "chunks";
     let framingTimer: Timer | undefined;
     let isSettled = false;
     const settle = (result: BodyResult) => {
@@ -77,7 +78,7 @@
     }
     incoming.on("data", receive);
     incoming.once("end", () => {
-      const hasBody = body.size > 0 || framing !== "connection";
+      const hasBody = body.size > 0 || options.framing !== "connection";
       settle({ type: "complete", bytes: hasBody ? body.read() : undefined });
     });
     incoming.once("error", () => settle({ type: "callerLeft" }));
--- a/packages/daemon/src/gateway/open_http_listener.ts
+++ b/packages/daemon/src/gateway/open_http_listener.ts
@@ -22,7 +22,7 @@
   // a limited number of header lines.
   const server = createServer(
     { requireHostHeader: false, ...serverOptions },
-    guard.guardRequests(name, handle),
+    guard.guardRequests(handle),
   );
   server.maxHeadersCount = 0; // their size is limited
   guard.watch(server, name);
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -245,7 +245,7 @@
     type: "counter",
     unit: "connections",
     meaning:
-      "Connections closed because of a limit, by tag `listener` and tag `reason`: connections, requests",
+      "Connections closed because of a limit, by tag `listener` and tag `reason`: connections, requests, heads",
   },
   "forwarding.faults": {
     type: "counter",
