Size buffers by the memory of the host, and stop reading a body that has no room

150 callers whose bodies of 1 MB never ended took a host to 180 MiB. The budget of bodies was 32 MiB whatever the memory of the host, and up to 1 MiB of each body that had no room was read on, to be dropped: garbage of up to 64 MiB before it is collected. Now bodies with their headers, and buffered responses, have an eighth each of the memory that the process does not use otherwise, at least 12 MiB (three times the largest published body) and at most 32. The platform names the memory in its settings. A body without room is not read further and its connection is closed after the refusal.

--- a/packages/daemon/src/forwarding/constants.ts
+++ b/packages/daemon/src/forwarding/constants.ts
@@ -6,12 +6,8 @@
   connectTimeoutMs: 400,
   /** Largest buffered response of a plain service; the outcome of a larger one is unknown. */
   maxAnswerBytes: 4 * 1_048_576,
-  /** Total size of the responses that this host buffers until they are complete. */
-  maxAnswerBytesTogether: 16 * 1_048_576,
   /** Bytes of a stream without a new event id after which it counts as broken off. */
   maxEventBytes: 1_048_576,
-  /** Total size of the request bodies that this host buffers; requests beyond it are refused. */
-  maxBufferedBytes: 32 * 1_048_576,
   /** Bytes beside a caller's body, in the heads of its chunks, and as many for each of its bytes. */
   maxFramingBytes: 262_144,
   framingBytesPerBodyByte: 8,
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -39,6 +39,11 @@
 export interface ForwarderOptions {
   readonly context: Omit<ForwardingContext, "timerDelays" | "answerBudget">;
   readonly readSettings: () => RouteSettings | undefined;
+  /**
+   * Bytes of the bodies and headers of callers that this host keeps, above which requests are refused,
+   * and of the responses that it buffers until they are complete.
+   */
+  readonly bufferBytes: number;
   readonly isLeaving: () => boolean;
   /** Whether callers had the time to learn that this host drains. */
   readonly isLateInDrain: () => boolean;
@@ -90,13 +95,13 @@
   const context: ForwardingContext = {
     ...options.context,
     timerDelays: createTimerDelays(clock),
-    answerBudget: createByteBudget(FORWARDING_LIMITS.maxAnswerBytesTogether),
+    answerBudget: createByteBudget(options.bufferBytes),
   };
   const waitQueue = createWaitQueue();
   const runs = new Set<GenerationRun>();
   const open = new Set<OpenRequest>();
   let running = 0;
-  const bodyBudget = createByteBudget(FORWARDING_LIMITS.maxBufferedBytes);
+  const bodyBudget = createByteBudget(options.bufferBytes);
   let timer: Timer | undefined;
   let tickDueAtMs = Number.POSITIVE_INFINITY;
   let isIdle = false;
@@ -392,7 +397,6 @@
       return;
     }
     if (!account.add(computeHeaderMemory(rawHeaders))) {
-      dropBody(incoming);
       response.shouldKeepAlive = false;
       refuse(reply, "noRoomInTime");
       return;
@@ -408,8 +412,8 @@
       return;
     }
     if (body.type !== "complete") {
-      // The rest of a slow body may never come, so its connection is closed.
-      response.shouldKeepAlive &&= body.type !== "tooSlow" && body.type !== "badFraming";
+      // The rest of a slow body may never come, and there is no room for that of another one.
+      response.shouldKeepAlive &&= body.type === "tooLarge";
       refuse(reply, BODY_REFUSALS[body.type]);
       return;
     }
--- a/packages/daemon/src/forwarding/read_body.ts
+++ b/packages/daemon/src/forwarding/read_body.ts
@@ -41,7 +41,7 @@
       incoming.off("data", receive);
       if (result.type !== "complete") {
         options.account.close();
-        dropBody(incoming);
+        result.type === "overloaded" ? incoming.pause() : dropBody(incoming);
       }
       resolve(result);
     };
--- a/packages/daemon/src/gateway/apply_reload_test.ts
+++ b/packages/daemon/src/gateway/apply_reload_test.ts
@@ -7,7 +7,7 @@
 const START_CONFIG: GatewayConfig = {
   host: {
     ...{ name: "h", dataCentre: "a", address: "10.0.0.1", size: 1, speed: 1 },
-    fileDescriptors: 4_096,
+    ...{ memoryMb: 200, fileDescriptors: 4_096 },
   },
   listen: {
     callers: "10.0.0.1:1",
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -19,6 +19,7 @@
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
+import { computeBufferBytes } from "./compute_buffer_bytes.ts";
 import { computeDrainTime } from "./compute_drain_time.ts";
 import { createActiveSettings } from "./create_active_settings.ts";
 import { createColdNotices } from "./create_cold_notices.ts";
@@ -59,6 +60,7 @@
   const { config, clock, random, logger, metrics, dialect, directory } = options;
   const incarnation = markIncarnation(random.nextHex(INCARNATION_BYTES), PROTOCOL_VERSION);
   const peerAddress = `${config.host.address}:${config.listen.peerPort}`;
+  const bufferBytes = computeBufferBytes(config.host.memoryMb);
   const loads = createLoadState();
   const seedAddresses = listSeedAddresses(config.peers.seeds, config.listen.peerPort);
   let isLeaving = false;
@@ -339,6 +341,7 @@
       reportLoadChange: () => hosts.scheduleReport(),
     },
     readSettings: () => readSettings(),
+    bufferBytes,
     isLeaving: () => isLeaving,
     isLateInDrain: () => clock.readMonotonicMs() - leavingSinceMs >= GATEWAY_LIMITS.minDrainMs,
     computeDrainLeft: () =>
--- a/packages/daemon/src/gateway/gateway_config_schema.ts
+++ b/packages/daemon/src/gateway/gateway_config_schema.ts
@@ -34,6 +34,8 @@
     size: positiveSchema.prefault("1"),
     /** Speed of its processor relative to other hosts; multiplies the size. */
     speed: positiveSchema.prefault("1"),
+    /** Memory of this host, in MB. */
+    memoryMb: optionalPositiveSchema(200),
     /** Descriptors that its process may open. */
     fileDescriptors: optionalPositiveSchema(4_096),
   }),
