Bound what clients leave unread, together, and collect large buffers

150 callers that did not read responses of 4 MB took a host to 1,225 MiB; streams that were not read, to 222 MiB. A response left the budget of buffered ones when it was complete, and what its caller did not read was counted by nothing, for as long as the connection lived. Now what all connections have not sent has half the bytes of the bodies' budget (6 MiB at least): beyond it the connections that have had unsent bytes for longest are closed. Buffered responses have two thirds of it. The process tests read the deployed options from deploy/system.toml.

--- a/packages/daemon/src/common/create_byte_budget.ts
+++ b/packages/daemon/src/common/create_byte_budget.ts
@@ -1,3 +1,5 @@
+import type { ReleaseMeter } from "./create_release_meter.ts";
+
 /** A limit on the bytes that all holders of a budget buffer together. */
 export interface ByteBudget {
   /** Opens an account without bytes. */
@@ -14,11 +16,14 @@
   close(): void;
 }
 
+/** Bytes of an account whose buffers count as large. */
+const LARGE_BYTES = 65_536;
+
 /**
  * Creates a budget. An account may hold no more bytes than are left, so that however many large ones
  * there are, a small one still finds room.
  */
-export function createByteBudget(maxBytes: number): ByteBudget {
+export function createByteBudget(maxBytes: number, releases?: ReleaseMeter): ByteBudget {
   let usedBytes = 0;
   return {
     get usedBytes() {
@@ -38,6 +43,9 @@
         },
         close: () => {
           isClosed = true;
+          if (heldBytes >= LARGE_BYTES) {
+            releases?.recordReleased(heldBytes);
+          }
           usedBytes -= heldBytes;
           heldBytes = 0;
         },
--- a/packages/daemon/src/connections/constants.ts
+++ b/packages/daemon/src/connections/constants.ts
@@ -28,6 +28,8 @@
   maxHeadBytes: 786_432,
   /** Bytes of a head that is never closed in favour of others. */
   ordinaryHeadBytes: 1_024,
+  /** Bytes from which a part of a response is counted as a large buffer. */
+  largeWriteBytes: 4_096,
   /** Interval between log lines on closed connections. */
   reportIntervalMs: 1_000,
 } as const;
--- a/packages/daemon/src/connections/create_close_reports.ts
+++ b/packages/daemon/src/connections/create_close_reports.ts
@@ -3,7 +3,7 @@
 import type { ListenerName } from "./listener_name.ts";
 
 /** Which limit closed a connection. */
-export type CloseReason = "connections" | "requests" | "heads";
+export type CloseReason = "connections" | "requests" | "heads" | "unsent";
 
 /** Counts closed connections, and logs them. */
 export interface CloseReports {
--- a/packages/daemon/src/connections/create_connection_guard.ts
+++ b/packages/daemon/src/connections/create_connection_guard.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics } from "@crocussail/protocol";
 import type { IncomingMessage, RequestListener, Server } from "node:http";
 import type { Socket } from "node:net";
+import type { ReleaseMeter } from "../common/create_release_meter.ts";
 import { closeQueuedResponses } from "./close_queued_responses.ts";
 import { computeMaxConnections } from "./compute_max_connections.ts";
 import { CONNECTION_LIMITS } from "./constants.ts";
@@ -20,6 +21,9 @@
   readonly metrics: Metrics;
   /** Descriptors that the process may open. */
   readonly descriptors: number;
+  /** Bytes of all responses together that clients have not read. */
+  readonly maxUnsentBytes: number;
+  readonly releases: ReleaseMeter;
 }
 
 /** Bounds what the clients of all listeners of a process hold together. */
@@ -28,6 +32,8 @@
   watch(server: Server, name: ListenerName): void;
   /** Wraps the handler of a server's requests, which reads the headers before it returns. */
   guardRequests(handle: RequestListener): RequestListener;
+  /** Counts what a connection has not sent, after bytes of a response were written to it. */
+  recordWritten(socket: Socket, bytes: number): void;
 }
 
 /** Creates the guard, without connections. */
@@ -39,6 +45,7 @@
   /** Bytes of all heads that are arriving, and of those whose connections are being closed. */
   let headBytes = 0;
   let closingHeadBytes = 0;
+  let unsentBytes = 0;
 
   const close = (connection: GuardedConnection, reason: CloseReason) => {
     reports.recordClosed(connection.listener, reason);
@@ -49,6 +56,29 @@
     change();
     headBytes += connection.head.bytes - before;
   };
+  const countUnsent = (connection: GuardedConnection) => {
+    const bytes = [...connection.open.keys()]
+      .reduce((sum, { writableLength }) => sum + writableLength, 0);
+    if (connection.unsentBytes === 0) {
+      connection.unsentSinceMs = clock.readMonotonicMs();
+    }
+    unsentBytes += bytes - connection.unsentBytes;
+    connection.unsentBytes = bytes;
+  };
+  /** Closes the connections whose clients have not read everything for longest. */
+  const limitUnsent = () => {
+    while (unsentBytes > options.maxUnsentBytes) {
+      const slowest = [...connections.values()]
+        .filter((connection) => connection.unsentBytes > 0)
+        .reduce((known, other) => other.unsentSinceMs < known.unsentSinceMs ? other : known);
+      options.releases.recordReleased(slowest.unsentBytes);
+      unsentBytes -= slowest.unsentBytes;
+      slowest.unsentBytes = 0;
+      connections.delete(slowest.socket);
+      headBytes -= slowest.head.bytes;
+      close(slowest, "unsent");
+    }
+  };
   const closeHead = (connection: GuardedConnection) => {
     connections.delete(connection.socket);
     headBytes -= connection.head.bytes;
@@ -83,10 +113,15 @@
       activeAtMs: clock.readMonotonicMs(),
       hasBegun: false,
       open: new Map(),
+      unsentBytes: 0,
+      unsentSinceMs: 0,
     };
     connections.set(socket, connection);
+    socket.on("drain", () => countUnsent(connection));
     socket.once("close", () => {
       headBytes -= connections.delete(socket) ? connection.head.bytes : 0;
+      unsentBytes -= connection.unsentBytes;
+      connection.unsentBytes = 0;
       closeQueuedResponses(connection.open.keys());
     });
     splitReads(socket, (bytes) => {
@@ -141,6 +176,7 @@
       response.once("close", () => {
         requestsAhead -= Number(isAhead);
         connection.open.delete(response);
+        countUnsent(connection);
         connection.activeAtMs = clock.readMonotonicMs();
       });
       handle(request, response);
@@ -148,5 +184,15 @@
       request.rawHeaders = [];
       request.headers = {};
     },
+    recordWritten: (socket, bytes) => {
+      if (bytes >= CONNECTION_LIMITS.largeWriteBytes) {
+        options.releases.recordReleased(bytes);
+      }
+      const connection = connections.get(socket);
+      if (connection !== undefined) {
+        countUnsent(connection);
+        limitUnsent();
+      }
+    },
   };
 }
--- a/packages/daemon/src/connections/find_expendable_connection_test.ts
+++ b/packages/daemon/src/connections/find_expendable_connection_test.ts
@@ -15,6 +15,7 @@
     listener: "callers",
     head: createHeadMeter(),
     activeAtMs,
+    ...{ unsentBytes: 0, unsentSinceMs: 0 },
     hasBegun: requests !== undefined,
     open: new Map(
       (requests ?? []).map((state) => [
--- a/packages/daemon/src/connections/guarded_connection.ts
+++ b/packages/daemon/src/connections/guarded_connection.ts
@@ -15,4 +15,7 @@
   hasBegun: boolean;
   /** Requests whose response has not been sent completely, oldest first. */
   readonly open: Map<ServerResponse, IncomingMessage>;
+  /** Bytes of these responses that have not been sent, and since when there have been some. */
+  unsentBytes: number;
+  unsentSinceMs: number;
 }
--- a/packages/daemon/src/forwarding/create_caller_reply.ts
+++ b/packages/daemon/src/forwarding/create_caller_reply.ts
@@ -13,6 +13,8 @@
   readonly dialect: DeploymentDialect;
   /** Whether this host is draining; the connection is then closed after the response. */
   readonly isLeaving: () => boolean;
+  /** Called after bytes of a body were written to the connection. */
+  readonly recordWritten: (bytes: number) => void;
   /** Called before this host sends a problem document. */
   readonly recordRefusal: (code: ResultCodeName, detail: string, retryAfterMs: number) => void;
   /** Lists headers that are added to a response; `code` is that of a problem document. */
@@ -48,9 +50,11 @@
       writeHead(status, statusText, [...headers, ...length, ...listOwnHeaders(undefined)]);
       hasEnded = true;
       response.end(body);
+      options.recordWritten(body.length);
     },
     sendChunk: (chunk) => {
       response.write(chunk);
+      options.recordWritten(chunk.length);
       return response.writableLength <= FORWARDING_LIMITS.maxUnsentBytes;
     },
     endStream: () => {
--- a/packages/daemon/src/forwarding/create_caller_reply_test.ts
+++ b/packages/daemon/src/forwarding/create_caller_reply_test.ts
@@ -12,6 +12,7 @@
 async function sendReply(use: (reply: CallerReply) => void): Promise<number> {
   const server = createServer((_request, response: ServerResponse) =>
     use(createCallerReply({
+      recordWritten: () => {},
       response,
       dialect: { encodeRetryAdvice: () => [] } as Partial<DeploymentDialect> as DeploymentDialect,
       isLeaving: () => false,
--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -1,9 +1,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Timer } from "@crocussail/protocol";
 import { estimateRemainingTokens } from "../balancing/mod.ts";
 import { QUARANTINE_DEFAULTS } from "../quarantine/mod.ts";
 import { chooseService } from "../routes/mod.ts";
 import type { RequestKind, RouteSettings } from "../routes/mod.ts";
+import type { ReleaseMeter } from "../common/create_release_meter.ts";
 import { findHeader } from "../common/find_header.ts";
 import { createByteBudget } from "../common/create_byte_budget.ts";
 import type { AcceptedHandover } from "../handover/mod.ts";
@@ -39,12 +41,14 @@
 export interface ForwarderOptions {
   readonly context: Omit<ForwardingContext, "timerDelays" | "answerBudget">;
   readonly readSettings: () => RouteSettings | undefined;
-  /**
-   * Bytes of the bodies and headers of callers that this host keeps, above which requests are refused,
-   * and of the responses that it buffers until they are complete.
-   */
-  readonly bufferBytes: number;
+  /** Bytes of the callers' bodies and headers that this host keeps; it refuses requests beyond. */
+  readonly bodyBytes: number;
+  /** Bytes of the responses that this host buffers until they are complete. */
+  readonly answerBytes: number;
+  readonly releases: ReleaseMeter;
   readonly isLeaving: () => boolean;
+  /** Called after a part of a response was written to a connection. */
+  readonly recordWritten: (socket: Socket, bytes: number) => void;
   /** Whether callers had the time to learn that this host drains. */
   readonly isLateInDrain: () => boolean;
   /** Computes the milliseconds until open requests are cut; infinite unless this host leaves. */
@@ -95,13 +99,13 @@
   const context: ForwardingContext = {
     ...options.context,
     timerDelays: createTimerDelays(clock),
-    answerBudget: createByteBudget(options.bufferBytes),
+    answerBudget: createByteBudget(options.answerBytes, options.releases),
   };
   const waitQueue = createWaitQueue();
   const runs = new Set<GenerationRun>();
   const open = new Set<OpenRequest>();
   let running = 0;
-  const bodyBudget = createByteBudget(options.bufferBytes);
+  const bodyBudget = createByteBudget(options.bodyBytes, options.releases);
   let timer: Timer | undefined;
   let tickDueAtMs = Number.POSITIVE_INFINITY;
   let isIdle = false;
@@ -354,6 +358,7 @@
       response,
       dialect: context.dialect,
       isLeaving: options.isLeaving,
+      recordWritten: (bytes) => options.recordWritten(incoming.socket, bytes),
       recordRefusal: (code, detail, retryAfterMs) =>
         logger.writeEvent("ownAnswerSent", {
           request: head.requestId ?? "none",
--- a/packages/daemon/src/gateway/constants.ts
+++ b/packages/daemon/src/gateway/constants.ts
@@ -60,13 +60,18 @@
   lastAnswersMs: 100,
   /** Largest header block that the parser accepts; the settings may limit it further. */
   maxParsedHeaderBytes: 65_536,
-  /** Memory of a process without buffers, in MB. */
-  processMemoryMb: 64,
-  /** Share of the rest of the memory for each of bodies, responses and unsent bytes. */
-  bufferShare: 1 / 8,
-  /** Limits of these buffers, in MiB. */
-  minBufferMib: 12,
-  maxBufferMib: 32,
+  /** Limits of what a host buffers. */
+  buffers: {
+    /** Memory of a process without buffers, in MB. */
+    processMemoryMb: 64,
+    /** Share of the rest of the memory for bodies. */
+    bodyShare: 1 / 8,
+    minBodyMib: 12,
+    maxBodyMib: 32,
+    /** Room for responses that are not complete, and for unsent ones, as shares of that. */
+    answerShareOfBody: 2 / 3,
+    unsentShareOfBody: 1 / 2,
+  },
   /** Interval between checks of the timeouts of idle and slow connections. */
   connectionCheckMs: 500,
   /**
--- a/packages/daemon/src/gateway/create_gateway.ts
+++ b/packages/daemon/src/gateway/create_gateway.ts
@@ -1,6 +1,7 @@
 import type { Timer } from "@crocussail/protocol";
 import { computeLocalLoads, createLoadState } from "../balancing/mod.ts";
 import { createBrittleUpstreams } from "../brittle_upstreams/mod.ts";
+import { createReleaseMeter } from "../common/create_release_meter.ts";
 import { createConnectionGuard } from "../connections/mod.ts";
 import {
   chooseAddresses,
@@ -19,7 +20,7 @@
 import { applyReportedUpstreams } from "./apply_reported_upstreams.ts";
 import { chooseReaders } from "./choose_readers.ts";
 import { GATEWAY_LIMITS } from "./constants.ts";
-import { computeBufferBytes } from "./compute_buffer_bytes.ts";
+import { computeBufferLimits } from "./compute_buffer_limits.ts";
 import { computeDrainTime } from "./compute_drain_time.ts";
 import { createActiveSettings } from "./create_active_settings.ts";
 import { createColdNotices } from "./create_cold_notices.ts";
@@ -60,7 +61,8 @@
   const { config, clock, random, logger, metrics, dialect, directory } = options;
   const incarnation = markIncarnation(random.nextHex(INCARNATION_BYTES), PROTOCOL_VERSION);
   const peerAddress = `${config.host.address}:${config.listen.peerPort}`;
-  const bufferBytes = computeBufferBytes(config.host.memoryMb);
+  const buffers = computeBufferLimits(config.host.memoryMb);
+  const releases = createReleaseMeter(options.collectGarbage);
   const loads = createLoadState();
   const seedAddresses = listSeedAddresses(config.peers.seeds, config.listen.peerPort);
   let isLeaving = false;
@@ -341,7 +343,8 @@
       reportLoadChange: () => hosts.scheduleReport(),
     },
     readSettings: () => readSettings(),
-    bufferBytes,
+    ...{ bodyBytes: buffers.bodyBytes, answerBytes: buffers.answerBytes, releases },
+    recordWritten: (socket, bytes) => guard.recordWritten(socket, bytes),
     isLeaving: () => isLeaving,
     isLateInDrain: () => clock.readMonotonicMs() - leavingSinceMs >= GATEWAY_LIMITS.minDrainMs,
     computeDrainLeft: () =>
@@ -393,6 +396,8 @@
     logger,
     metrics,
     descriptors: config.host.fileDescriptors,
+    maxUnsentBytes: buffers.unsentBytes,
+    releases,
   });
   const listeners = createGatewayListeners({
     config,
--- a/packages/daemon/src/gateway/gateway_options.ts
+++ b/packages/daemon/src/gateway/gateway_options.ts
@@ -25,4 +25,6 @@
   /** Probes the connection to an upstream. */
   readonly probeConnection: ProbeConnection;
   readonly openSocket: OpenDatagramSocket;
+  /** Collects garbage now; missing if the runtime does not offer it. */
+  readonly collectGarbage?: (() => void) | undefined;
 }
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -245,7 +245,7 @@
     type: "counter",
     unit: "connections",
     meaning:
-      "Connections closed because of a limit, by tag `listener` and tag `reason`: connections, requests, heads",
+      "Connections closed because of a limit, by tag `listener` and tag `reason`: connections, requests, heads, unsent",
   },
   "forwarding.faults": {
     type: "counter",
--- a/playground/src/hostile_clients/start_host_process.ts
+++ b/playground/src/hostile_clients/start_host_process.ts
@@ -36,8 +36,7 @@
 
 const PROGRAM = "target/crocussaild.cjs";
 const ADDRESS = "127.0.6.1";
-/** Heap limits of the deployed program. */
-const HEAP_OPTIONS = ["--max-old-space-size=96", "--max-semi-space-size=2"];
+const DEPLOYMENT = "deploy/system.toml";
 /** Resets the peak of the resident memory (proc(5), `clear_refs`). */
 const RESET_PEAK = "5";
 const KIB_PER_MIB = 1_024;
@@ -54,7 +53,7 @@
     "-c",
     `ulimit -n ${options.descriptors} && exec "$@"`,
     "sh",
-    ...[process.execPath, ...HEAP_OPTIONS, PROGRAM],
+    ...[process.execPath, ...readRuntimeOptions(), PROGRAM],
   ], {
     env: { PATH: process.env["PATH"], CROCUSSAIL_BOOT: settings },
     stdio: ["ignore", "pipe", "pipe"],
@@ -90,3 +89,13 @@
     },
   };
 }
+
+/** Reads the options of the runtime with which the program is deployed. */
+function readRuntimeOptions(): string[] {
+  const run = new RegExp(`^run = "node (.*) ${PROGRAM}"$`, "m")
+    .exec(readFileSync(DEPLOYMENT, "utf8"));
+  if (run === null) {
+    throw new Error(`${DEPLOYMENT} has no command that runs ${PROGRAM}`);
+  }
+  return (run[1] ?? "").split(" ");
+}
