Count what closed connections held once only

By reading: a connection closed for its head or its unsent bytes could still change the sums of all connections afterwards (a chunk that was already read, a queued response that closes), so that they drifted; with a drifted sum the search for a connection to close would have thrown, or closed every one. Now a connection leaves the sums when it is closed and changes nothing after it, and the search ends with the last connection. create_connection_guard_test plays crowds in rounds and a sound request after them; it passes on the code before too, so the drift itself was not shown.

--- a/packages/daemon/src/connections/create_connection_guard.ts
+++ b/packages/daemon/src/connections/create_connection_guard.ts
@@ -40,6 +40,7 @@
 export function createConnectionGuard(options: ConnectionGuardOptions): ConnectionGuard {
   const { clock } = options;
   const reports = createCloseReports(options);
+  /** Connections that are not being closed. */
   const connections = new Map<Socket, GuardedConnection>();
   let requestsAhead = 0;
   /** Bytes of all heads that are arriving, and of those whose connections are being closed. */
@@ -47,16 +48,28 @@
   let closingHeadBytes = 0;
   let unsentBytes = 0;
 
+  const forget = (connection: GuardedConnection) => {
+    if (connections.delete(connection.socket)) {
+      headBytes -= connection.head.bytes;
+      unsentBytes -= connection.unsentBytes;
+    }
+  };
   const close = (connection: GuardedConnection, reason: CloseReason) => {
+    forget(connection);
     reports.recordClosed(connection.listener, reason);
     connection.socket.destroy();
   };
   const changeHead = (connection: GuardedConnection, change: () => void) => {
-    const before = connection.head.bytes;
-    change();
-    headBytes += connection.head.bytes - before;
+    if (connections.has(connection.socket)) {
+      const before = connection.head.bytes;
+      change();
+      headBytes += connection.head.bytes - before;
+    }
   };
   const countUnsent = (connection: GuardedConnection) => {
+    if (!connections.has(connection.socket)) {
+      return;
+    }
     const bytes = [...connection.open.keys()]
       .reduce((sum, { writableLength }) => sum + writableLength, 0);
     if (connection.unsentBytes === 0) {
@@ -67,24 +80,25 @@
   };
   /** Closes the connections whose clients have not read everything for longest. */
   const limitUnsent = () => {
-    while (unsentBytes > options.maxUnsentBytes) {
-      const slowest = [...connections.values()]
-        .filter((connection) => connection.unsentBytes > 0)
-        .reduce((known, other) => other.unsentSinceMs < known.unsentSinceMs ? other : known);
-      options.releases.recordReleased(slowest.unsentBytes);
-      unsentBytes -= slowest.unsentBytes;
-      slowest.unsentBytes = 0;
-      connections.delete(slowest.socket);
-      headBytes -= slowest.head.bytes;
-      close(slowest, "unsent");
+    if (unsentBytes <= options.maxUnsentBytes) {
+      return;
+    }
+    const slowestFirst = [...connections.values()]
+      .filter((connection) => connection.unsentBytes > 0)
+      .sort((left, right) => left.unsentSinceMs - right.unsentSinceMs);
+    for (const connection of slowestFirst) {
+      if (unsentBytes <= options.maxUnsentBytes) {
+        return;
+      }
+      options.releases.recordReleased(connection.unsentBytes);
+      close(connection, "unsent");
     }
   };
   const closeHead = (connection: GuardedConnection) => {
-    connections.delete(connection.socket);
-    headBytes -= connection.head.bytes;
-    closingHeadBytes += connection.head.bytes;
+    const { bytes } = connection.head;
+    closingHeadBytes += bytes;
     connection.socket.once("close", () => {
-      closingHeadBytes -= connection.head.bytes;
+      closingHeadBytes -= bytes;
     });
     close(connection, "heads");
   };
@@ -97,12 +111,16 @@
     if (closingHeadBytes > maxHeadBytes && current.head.bytes > ordinaryHeadBytes) {
       closeHead(current);
     }
-    while (headBytes > maxHeadBytes) {
-      closeHead(
-        [...connections.values()].reduce((known, other) =>
-          other.head.bytes > known.head.bytes ? other : known
-        ),
-      );
+    if (headBytes <= maxHeadBytes) {
+      return;
+    }
+    const largestFirst = [...connections.values()]
+      .sort((left, right) => right.head.bytes - left.head.bytes);
+    for (const connection of largestFirst) {
+      if (headBytes <= maxHeadBytes) {
+        return;
+      }
+      closeHead(connection);
     }
   };
   const accept = (socket: Socket, listener: ListenerName): GuardedConnection => {
@@ -119,9 +137,7 @@
     connections.set(socket, connection);
     socket.on("drain", () => countUnsent(connection));
     socket.once("close", () => {
-      headBytes -= connections.delete(socket) ? connection.head.bytes : 0;
-      unsentBytes -= connection.unsentBytes;
-      connection.unsentBytes = 0;
+      forget(connection);
       closeQueuedResponses(connection.open.keys());
     });
     splitReads(socket, (bytes) => {
@@ -160,7 +176,7 @@
     },
     guardRequests: (handle) => (request, response) => {
       const connection = connections.get(request.socket);
-      if (connection === undefined || request.socket.destroyed) {
+      if (connection === undefined) {
         return; // a request that was parsed with one for which the connection was closed
       }
       recordHead(connection, request);
