--- a/packages/daemon/src/forwarding/create_forwarder.ts
+++ b/packages/daemon/src/forwarding/create_forwarder.ts
@@ -90,7 +90,6 @@
   tooLarge: "bodyTooLarge",
   badFraming: "bodyTooLarge",
   tooSlow: "bodyTooSlow",
-  overloaded: "noRoomInTime",
 } as const satisfies Record<string, RefusalCode>;
 
 /** Creates the forwarder. Its state has one entry for each request without a final response. */
@@ -340,6 +339,11 @@
     reply.refuse(code, detail, retryAfterMs);
   };
 
+  const refuseWithoutBuffer = (reply: CallerReply) => {
+    metrics.increment("forwarding.overloaded");
+    refuse(reply, "noRoomInTime");
+  };
+
   const handleRequest: Forwarder["handleRequest"] = async (incoming, response, handover) => {
     const arrivedAtMs = clock.readMonotonicMs() - (handover?.ageMs ?? 0);
     const settings = options.readSettings();
@@ -403,7 +407,7 @@
     }
     if (!account.add(computeHeaderMemory(rawHeaders))) {
       response.shouldKeepAlive = false;
-      refuse(reply, "noRoomInTime");
+      refuseWithoutBuffer(reply);
       return;
     }
     const body = await readBody(incoming, {
@@ -419,7 +423,11 @@
     if (body.type !== "complete") {
       // The rest of a slow body may never come, and there is no room for that of another one.
       response.shouldKeepAlive &&= body.type === "tooLarge";
-      refuse(reply, BODY_REFUSALS[body.type]);
+      if (body.type === "overloaded") {
+        refuseWithoutBuffer(reply);
+      } else {
+        refuse(reply, BODY_REFUSALS[body.type]);
+      }
       return;
     }
     if (couldBeCut(route.kind, arrivedAtMs + timeoutMs - clock.readMonotonicMs())) {
--- a/packages/protocol/src/metrics_catalogue.ts
+++ b/packages/protocol/src/metrics_catalogue.ts
@@ -247,6 +247,11 @@
     meaning:
       "Connections closed because of a limit, by tag `listener` and tag `reason`: connections, requests, heads, unsent",
   },
+  "forwarding.overloaded": {
+    type: "counter",
+    unit: "requests",
+    meaning: "Requests refused because the kept bodies and headers of all requests left no room",
+  },
   "forwarding.faults": {
     type: "counter",
     unit: "errors",
