--- a/review/common-2/daemons.js
+++ b/review/common-2/daemons.js
@@ -64,10 +64,13 @@
 }
 
 /**
- * Prepares daemons, one for each of `hosts` (loopback addresses), that read `storeAddress`.
- * `bounds` and `limits` replace those of the small deployment on the pages.
+ * Prepares daemons, one for each of `hosts` (loopback addresses), in `zones` by turns, that read the
+ * store at `storeAddress`, or over the link that `links` has for a host. `bounds` replace those of the
+ * pages' small deployment.
  */
-export async function createDaemons({ root, directory, hosts, zones, storeAddress, bounds = {} }) {
+export async function createDaemons(
+  { root, directory, hosts, zones, storeAddress, links = new Map(), bounds = {} },
+) {
   // Ports are the same on all machines of a deployment.
   const [front, ready, directoryPort, control, peer] = await findFreePorts(hosts, 5);
   const seeds = hosts.slice(0, 3).map((host) => `${host}:${control}`);
@@ -99,7 +102,13 @@
       platform: { address: storeAddress },
     };
     const file = join(directory, `${name}.ini`);
-    writeFileSync(file, renderSettings(root, fields));
+    // The address also names the fleet, so that a link takes its place only where it is called.
+    const address = `\n[settings_service]\naddress = `;
+    const rendered = renderSettings(root, fields);
+    writeFileSync(
+      file,
+      rendered.replace(`${address}${storeAddress}`, `${address}${links.get(host) ?? storeAddress}`),
+    );
     let child;
     return {
       name,
--- a/review/common-2/deployment.js
+++ b/review/common-2/deployment.js
@@ -1,5 +1,6 @@
 // A small deployment: a store, workers of a model service and of a plain one, and daemons.
 import { createDaemons } from "./daemons.js";
+import { createLink } from "./link.js";
 import { createStore } from "./store.js";
 
 const HEARTBEAT_MS = 1_200;
@@ -46,14 +47,25 @@
   };
 }
 
-/** Starts the store, and prepares daemons on `hosts`. Workers write to the store by `publish`. */
-export async function createDeployment({ root, directory, addCleanup, record, hosts, bounds }) {
+/**
+ * Starts the store, and prepares daemons on `hosts`; those of `linkedHosts` reach the store over a
+ * link of their own. Workers write to the store by `publish`.
+ */
+export async function createDeployment(options) {
+  const { root, directory, addCleanup, record, hosts, bounds, linkedHosts = [] } = options;
   const store = await createStore("127.0.40.1");
   addCleanup(() => store.close());
+  const links = [];
+  for (const _ of linkedHosts) {
+    const link = await createLink("127.0.40.2", store.address);
+    addCleanup(() => link.close());
+    links.push(link);
+  }
   const beats = new Map();
   addCleanup(() => beats.forEach(({ timer }) => clearInterval(timer)));
   const fleet = await createDaemons({
     ...{ root, directory, hosts, bounds, storeAddress: store.address },
+    links: new Map(linkedHosts.map((host, index) => [host, links[index].address])),
     zones: ["zone-a", "zone-b"],
   });
   addCleanup(fleet.stop);
@@ -66,6 +78,7 @@
   };
   return {
     store,
+    links,
     daemons: fleet.daemons,
     configure: (configuration) => {
       record("operator", "writes", { version: configuration.version });
