--- a/review/8/run.js
+++ b/review/8/run.js
@@ -15,12 +15,14 @@
 const CUT_MS = 4_000;
 /** Times after the end of the cut at which a worker's entry is removed. */
 const REMOVALS_MS = [400, 700, 1_000];
-/** Each of these workers serves for `drain_ms` after that, and longer. */
-const LINGER_MS = 2_000;
+/** Each of these workers serves for `drain_ms` after that and a little longer, and then ends. */
+const LINGER_MS = 250;
+const WORK_MS = 150;
 
 await runScenario(import.meta.url, async (context) => {
   const { record, hasTrouble, addCleanup } = context;
   const arrivals = [];
+  const statuses = new Map();
   const recordStep = (who, what, fields) => {
     const atMs = record(who, what, fields);
     if (what === "arrives") {
@@ -30,7 +32,9 @@
   const deployment = await createDeployment({ ...context, hosts: HOSTS, linkedHosts: READERS });
   const desks = [];
   for (const id of ["i-0001", "i-0002", "i-0003", "i-0004", "i-0005"]) {
-    const desk = await createDesk({ host: "127.0.46.1", id, record: recordStep });
+    const desk = await createDesk({
+      ...{ host: "127.0.46.1", id, record: recordStep, workMs: WORK_MS },
+    });
     desks.push(desk);
     addCleanup(() => desk.close());
     deployment.publish(desk, "depot-desk");
@@ -58,6 +62,7 @@
         },
       });
       record("client", "gets", { request: id, from: daemon.name, status: answer.status });
+      statuses.set(id, answer.status);
     }, 1_000 / RATE)
   );
   addCleanup(() => timers.forEach((timer) => clearInterval(timer)));
@@ -76,16 +81,24 @@
   const removedAtMs = new Map();
   for (const [index, ms] of REMOVALS_MS.entries()) {
     await wait(Math.max(0, healedMs + ms - performance.now()));
-    const { id } = desks[index];
-    deployment.silence(id, true);
-    removedAtMs.set(id, record(id, "serves on for some time"));
+    const desk = desks[index];
+    deployment.silence(desk.id, true);
+    removedAtMs.set(desk.id, record(desk.id, "serves on for some time"));
+    setTimeout(() => {
+      record(desk.id, "ends");
+      desk.close();
+    }, DRAIN_MS + LINGER_MS);
   }
-  await wait(DRAIN_MS + LINGER_MS);
+  await wait(DRAIN_MS + 2_000);
   const late = arrivals
     .map(({ who, atMs, request }) => ({ who, request, lateMs: atMs - removedAtMs.get(who) }))
     .filter(({ lateMs }) => lateMs > DRAIN_MS);
   late.forEach(({ who, request, lateMs }) =>
-    record("late", request, { worker: who, afterMs: Math.round(lateMs) })
+    record("late", request, {
+      worker: who,
+      afterMs: Math.round(lateMs),
+      status: statuses.get(request) ?? "none",
+    })
   );
   return late.length === 0 ? [] : [
     `DRAIN: ${late.length} requests reached a worker more than ${DRAIN_MS} ms after its entry was ` +
--- a/review/common-2/engine.js
+++ b/review/common-2/engine.js
@@ -22,6 +22,7 @@
   const sockets = new Set();
   let handles = 0;
   let isDown = false;
+  let isFull = false;
 
   const sendEvent = (run) => {
     const number = run.next++;
@@ -104,6 +105,10 @@
     }
     const firstEvent = Number(request.headers["last-event-id"] ?? -1) + 1;
     const source = request.headers["kv-from"];
+    if (source === undefined && isFull) {
+      refuse(response, requestId, "full");
+      return;
+    }
     if (source === undefined) {
       startRun(request, response, requestId, firstEvent, prefillMs);
       return;
@@ -181,6 +186,10 @@
     zone,
     address,
     receiveCopy: (key, events) => isDown || copies.set(key, events),
+    /** Refuses new requests from now on, as a full worker does, or takes them again. */
+    setFull: (isNowFull) => {
+      isFull = isNowFull;
+    },
     dropCopy: (key) => copies.delete(key),
     listRuns: () => [...runs.keys()],
     hasCopy: (key) => copies.has(key),
