--- a/review/common-2/link.js
+++ b/review/common-2/link.js
@@ -1,4 +1,5 @@
-// A link to a server that can be cut without a sign: nothing passes until it has healed.
+// A link to a server that can be cut without a sign: nothing passes until it has healed. Or its open
+// channels fall silent for good, while new ones work.
 import { connect, createServer } from "node:net";
 
 /** Starts a link on a free port of `host` that leads to `target`. */
@@ -7,12 +8,14 @@
   const pairs = new Set();
   let isCut = false;
   const server = createServer({ pauseOnConnect: true }, (near) => {
-    const pair = { near, far: undefined };
+    const pair = { near, far: undefined, isSilent: false };
     pairs.add(pair);
     const close = () => {
-      near.destroy();
-      pair.far?.destroy();
-      pairs.delete(pair);
+      if (!pair.isSilent) {
+        near.destroy();
+        pair.far?.destroy();
+        pairs.delete(pair);
+      }
     };
     pair.open = () => {
       pair.far = connect(Number(targetPort), targetHost);
@@ -36,6 +39,14 @@
         far?.pause();
       }
     },
+    /** Nothing passes on the channels that are open now any more, not even their close. */
+    silence: () => {
+      for (const pair of pairs) {
+        pair.isSilent = true;
+        pair.near.unpipe().resume();
+        pair.far?.unpipe().resume();
+      }
+    },
     /** What has waited passes, and channels opened meanwhile reach the server. */
     heal: () => {
       isCut = false;
