--- a/review/8/run.js
+++ b/review/8/run.js
@@ -90,6 +90,9 @@
     }, DRAIN_MS + LINGER_MS);
   }
   await wait(DRAIN_MS + 2_000);
+  if (REMOVALS_MS.some((_, index) => !arrivals.some(({ who }) => who === desks[index].id))) {
+    throw new Error("a worker got no request while it was there");
+  }
   const late = arrivals
     .map(({ who, atMs, request }) => ({ who, request, lateMs: atMs - removedAtMs.get(who) }))
     .filter(({ lateMs }) => lateMs > DRAIN_MS);
--- a/review/9/run.js
+++ b/review/9/run.js
@@ -73,6 +73,9 @@
     return { id, outgoing };
   });
   await wait(2_000);
+  if (lastWorkMs.size < requests.length) {
+    throw new Error("not all requests run at a worker");
+  }
   if (hasTrouble) {
     links.forEach((link) => link.silence());
     record("network", "the open channels to the workers are silent; new ones work");
--- a/review/common-2/engine.js
+++ b/review/common-2/engine.js
@@ -3,18 +3,16 @@
 
 const EVENT_TOKENS = 4;
 
-const TOKEN_BYTES = 131_072;
-const LINK_MBPS = 19_000;
-
 /**
  * Starts a worker. `eventMs` is the time for an event, `prefillMs` that for a prompt. Moves of memory
- * run one after another over its link, at `TOKEN_BYTES` a token, and take twice as long to a worker
+ * run one after another over its link, at `tokenBytes` a token, and take twice as long to a worker
  * in another zone. With `dropsOnClose` false it goes on with a request whose channel has closed, as
  * some workers do.
  */
 export async function createEngine(options) {
   const { host, id, record, zone, eventMs = 40, prefillMs = 60 } = options;
   const { dropsOnClose = true, backupMs = 200 } = options;
+  const { tokenBytes = 131_072, linkMbps = 19_000 } = options;
   let linkFreeAtMs = 0;
   const runs = new Map();
   /** Copies of other workers' requests, by the text of `Kv-From`: events that they hold. */
@@ -129,7 +127,7 @@
     const factor = target !== undefined && target.zone !== zone ? 2 : 1;
     const nowMs = performance.now();
     const startMs = Math.max(nowMs, linkFreeAtMs);
-    linkFreeAtMs = startMs + factor * tokens * TOKEN_BYTES * 8 / (LINK_MBPS * 1_000);
+    linkFreeAtMs = startMs + factor * tokens * tokenBytes * 8 / (linkMbps * 1_000);
     return linkFreeAtMs - nowMs;
   };
   const moveRun = (call, response) => {
--- a/review/common-2/scenario.js
+++ b/review/common-2/scenario.js
@@ -27,9 +27,14 @@
   };
   const cleanups = [];
   let code = COULD_NOT_RUN;
-  const timeout = new Promise((_, reject) => {
+  // A case that is stopped ends as one that could not run, and leaves no process.
+  const stopped = new Promise((_, reject) => {
     setTimeout(() => reject(new Error("the case took too long")), MAX_RUN_MS).unref();
+    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+      process.once(signal, () => reject(new Error(`the case was stopped by ${signal}`)));
+    }
   });
+  stopped.catch(() => {});
   try {
     const findings = await Promise.race([
       play({
@@ -39,7 +44,7 @@
         hasTrouble: process.env.TROUBLE !== "0",
         addCleanup: (cleanup) => cleanups.unshift(cleanup),
       }),
-      timeout,
+      stopped,
     ]);
     findings.forEach((finding) => record("RULE", finding));
     code = findings.length === 0 ? HELD : BROKEN;
